--- a/cmd/nutmegway-lab/standinenginecmd.go
+++ b/cmd/nutmegway-lab/standinenginecmd.go
@@ -8,7 +8,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/nutmegway/nutmegway/internal/base/telemetry"
-	"github.com/nutmegway/nutmegway/internal/platform/weightstore"
+	"github.com/nutmegway/nutmegway/internal/external/weightstore"
 	"github.com/nutmegway/nutmegway/internal/standin/engine"
 )
 
--- a/cmd/nutmegway-lab/standinhostlistcmd.go
+++ b/cmd/nutmegway-lab/standinhostlistcmd.go
@@ -8,7 +8,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	platform "github.com/nutmegway/nutmegway/internal/platform/hostlist"
+	platform "github.com/nutmegway/nutmegway/internal/external/hostlist"
 	"github.com/nutmegway/nutmegway/internal/standin/hostlist"
 )
 
--- a/cmd/nutmegway/servecmd.go
+++ b/cmd/nutmegway/servecmd.go
@@ -14,9 +14,9 @@
 	"github.com/nutmegway/nutmegway/internal/base/telemetry"
 	"github.com/nutmegway/nutmegway/internal/entry/node"
 	"github.com/nutmegway/nutmegway/internal/entry/settings"
-	"github.com/nutmegway/nutmegway/internal/platform/etcd"
-	"github.com/nutmegway/nutmegway/internal/platform/hostlist"
-	"github.com/nutmegway/nutmegway/internal/platform/weightstore"
+	"github.com/nutmegway/nutmegway/internal/external/etcd"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
+	"github.com/nutmegway/nutmegway/internal/external/weightstore"
 )
 
 // serveName is the command that handles its signals itself.
--- a/internal/entry/node/admin.go
+++ b/internal/entry/node/admin.go
@@ -13,7 +13,7 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/document"
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 // stateLeaving is shown for a member that takes no new callers.
--- a/internal/entry/node/documents.go
+++ b/internal/entry/node/documents.go
@@ -8,7 +8,7 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/document"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/fleet/spread"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 func (n *Node) addDocuments(_ context.Context, pool *peer.Pool, registrar *grpc.Server) error {
--- a/internal/entry/node/hosts.go
+++ b/internal/entry/node/hosts.go
@@ -11,7 +11,7 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/fleet/server"
-	"github.com/nutmegway/nutmegway/internal/platform/hostlist"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 )
 
 // followLeaving drains the node when the host list shows it as leaving.
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -19,9 +19,9 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/address"
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
-	"github.com/nutmegway/nutmegway/internal/platform/hostlist"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
-	"github.com/nutmegway/nutmegway/internal/platform/weightstore"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
+	"github.com/nutmegway/nutmegway/internal/external/weightstore"
 	"github.com/nutmegway/nutmegway/internal/request/balance"
 	"github.com/nutmegway/nutmegway/internal/request/direct"
 )
--- a/internal/entry/node/store.go
+++ b/internal/entry/node/store.go
@@ -7,7 +7,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 // countStore counts the node's calls of the key-value service.
--- a/internal/platform/etcd/convert.go
+++ b/internal/external/etcd/convert.go
@@ -3,9 +3,9 @@
 import (
 	"math"
 
-	"github.com/nutmegway/nutmegway/internal/platform/etcd/etcdserverpb"
-	"github.com/nutmegway/nutmegway/internal/platform/etcd/mvccpb"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/etcd/etcdserverpb"
+	"github.com/nutmegway/nutmegway/internal/external/etcd/mvccpb"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 // keyOf returns the first key of a range below prefix; the service takes a
--- a/internal/platform/etcd/store.go
+++ b/internal/external/etcd/store.go
@@ -17,8 +17,8 @@
 	"google.golang.org/grpc/keepalive"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
-	"github.com/nutmegway/nutmegway/internal/platform/etcd/etcdserverpb"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/etcd/etcdserverpb"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 var classError = errs.Class("etcd")
--- a/internal/platform/etcd/watch.go
+++ b/internal/external/etcd/watch.go
@@ -9,8 +9,8 @@
 	"google.golang.org/grpc"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
-	"github.com/nutmegway/nutmegway/internal/platform/etcd/etcdserverpb"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/etcd/etcdserverpb"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 var errWatchClosed = errors.New("the watch is closed")
--- a/internal/fleet/document/record.go
+++ b/internal/fleet/document/record.go
@@ -10,7 +10,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 const (
--- a/internal/fleet/document/store.go
+++ b/internal/fleet/document/store.go
@@ -11,7 +11,7 @@
 	"github.com/rogpeppe/go-internal/diff"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 const (
--- a/internal/fleet/document/store_test.go
+++ b/internal/fleet/document/store_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/fleet/document"
-	"github.com/nutmegway/nutmegway/internal/platform/etcd"
+	"github.com/nutmegway/nutmegway/internal/external/etcd"
 	standin "github.com/nutmegway/nutmegway/internal/standin/etcd"
 )
 
--- a/internal/fleet/hosts/follower.go
+++ b/internal/fleet/hosts/follower.go
@@ -16,7 +16,7 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/hosts/hostspb"
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
-	"github.com/nutmegway/nutmegway/internal/platform/hostlist"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 )
 
 var classError = errs.Class("hosts")
--- a/internal/fleet/hosts/follower_test.go
+++ b/internal/fleet/hosts/follower_test.go
@@ -17,7 +17,7 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/hosts"
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
-	"github.com/nutmegway/nutmegway/internal/platform/hostlist"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 )
 
 // platform is the platform's list in memory.
--- a/internal/fleet/hosts/journal.go
+++ b/internal/fleet/hosts/journal.go
@@ -8,7 +8,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/nutmegway/nutmegway/internal/platform/hostlist"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 )
 
 const (
--- a/internal/fleet/hosts/journal_test.go
+++ b/internal/fleet/hosts/journal_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/nutmegway/nutmegway/internal/fleet/hosts"
-	"github.com/nutmegway/nutmegway/internal/platform/hostlist"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 )
 
 // A node that follows two readers in turn, each of which sees only some of the
--- a/internal/fleet/lease/fake_test.go
+++ b/internal/fleet/lease/fake_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 // fakeStore is a store in memory on the test's clock. Each call takes a while,
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -15,7 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 var classError = errs.Class("lease")
--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -14,8 +14,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/nutmegway/nutmegway/internal/fleet/lease"
-	"github.com/nutmegway/nutmegway/internal/platform/etcd"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/etcd"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	standin "github.com/nutmegway/nutmegway/internal/standin/etcd"
 )
 
--- a/internal/fleet/member/agent.go
+++ b/internal/fleet/member/agent.go
@@ -20,7 +20,7 @@
 
 	"github.com/nutmegway/nutmegway/internal/fleet/datagram"
 	"github.com/nutmegway/nutmegway/internal/fleet/member/memberpb"
-	"github.com/nutmegway/nutmegway/internal/platform/hostlist"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 )
 
 var classError = errs.Class("member")
--- a/internal/fleet/member/detector.go
+++ b/internal/fleet/member/detector.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/nutmegway/nutmegway/internal/fleet/member/memberpb"
-	"github.com/nutmegway/nutmegway/internal/platform/hostlist"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 )
 
 // maxHealth is the worst value of the local health multiplier.
--- a/internal/fleet/member/detector_test.go
+++ b/internal/fleet/member/detector_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/member/memberpb"
-	"github.com/nutmegway/nutmegway/internal/platform/hostlist"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 )
 
 func TestCrashIsSeenByAll(t *testing.T) {
--- a/internal/fleet/server/directory.go
+++ b/internal/fleet/server/directory.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/nutmegway/nutmegway/internal/platform/hostlist"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 )
 
 const (
--- a/internal/fleet/server/directory_test.go
+++ b/internal/fleet/server/directory_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/nutmegway/nutmegway/internal/fleet/server"
-	"github.com/nutmegway/nutmegway/internal/platform/hostlist"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 )
 
 func TestEarliestSourceWins(t *testing.T) {
--- a/internal/fleet/server/server.go
+++ b/internal/fleet/server/server.go
@@ -1,7 +1,7 @@
 // Package server knows the backend servers of each service.
 package server
 
-import "github.com/nutmegway/nutmegway/internal/platform/hostlist"
+import "github.com/nutmegway/nutmegway/internal/external/hostlist"
 
 // Server is one backend server.
 type Server struct {
--- a/internal/fleet/spread/fleet_test.go
+++ b/internal/fleet/spread/fleet_test.go
@@ -18,7 +18,7 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/fleet/spread"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 const prefix = "documents/"
--- a/internal/fleet/spread/reader.go
+++ b/internal/fleet/spread/reader.go
@@ -10,7 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 // rolePeriod is the time between two looks at the readers of the zone.
--- a/internal/fleet/spread/spreader.go
+++ b/internal/fleet/spread/spreader.go
@@ -17,7 +17,7 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/fleet/spread/spreadpb"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 var classError = errs.Class("spread")
--- a/internal/lab/chaos/player.go
+++ b/internal/lab/chaos/player.go
@@ -10,7 +10,7 @@
 
 	"github.com/nutmegway/nutmegway/internal/lab/deployment"
 	"github.com/nutmegway/nutmegway/internal/lab/ledger"
-	"github.com/nutmegway/nutmegway/internal/platform/hostlist"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 	"github.com/nutmegway/nutmegway/internal/standin/caller"
 	"github.com/nutmegway/nutmegway/internal/standin/engine"
 	"github.com/nutmegway/nutmegway/internal/standin/etcd"
--- a/internal/lab/deployment/deployment.go
+++ b/internal/lab/deployment/deployment.go
@@ -11,8 +11,8 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/nutmegway/nutmegway/internal/platform/hostlist"
-	"github.com/nutmegway/nutmegway/internal/platform/weightstore"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
+	"github.com/nutmegway/nutmegway/internal/external/weightstore"
 	"github.com/nutmegway/nutmegway/internal/request/balance"
 	"github.com/nutmegway/nutmegway/internal/request/direct"
 	standinengine "github.com/nutmegway/nutmegway/internal/standin/engine"
--- a/internal/lab/deployment/process.go
+++ b/internal/lab/deployment/process.go
@@ -11,7 +11,7 @@
 	"strings"
 
 	"github.com/nutmegway/nutmegway/internal/lab/process"
-	"github.com/nutmegway/nutmegway/internal/platform/hostlist"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 )
 
 // Pause stops the node's process without ending it. It does nothing when the
--- a/internal/lab/failover/product.go
+++ b/internal/lab/failover/product.go
@@ -10,7 +10,7 @@
 
 	"github.com/nutmegway/nutmegway/internal/lab/deployment"
 	"github.com/nutmegway/nutmegway/internal/lab/report"
-	"github.com/nutmegway/nutmegway/internal/platform/etcd"
+	"github.com/nutmegway/nutmegway/internal/external/etcd"
 	standinengine "github.com/nutmegway/nutmegway/internal/standin/engine"
 )
 
--- a/internal/lab/failover/store.go
+++ b/internal/lab/failover/store.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 // gate is a node's way to the key-value service and to the engines. While it is
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -10,8 +10,8 @@
 
 	"github.com/nutmegway/nutmegway/internal/fleet/document"
 	"github.com/nutmegway/nutmegway/internal/fleet/spread"
-	"github.com/nutmegway/nutmegway/internal/platform/etcd"
-	"github.com/nutmegway/nutmegway/internal/platform/hostlist"
+	"github.com/nutmegway/nutmegway/internal/external/etcd"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 	standinetcd "github.com/nutmegway/nutmegway/internal/standin/etcd"
 )
 
--- a/internal/lab/fleet/node.go
+++ b/internal/lab/fleet/node.go
@@ -16,9 +16,9 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/fleet/server"
 	"github.com/nutmegway/nutmegway/internal/fleet/spread"
-	"github.com/nutmegway/nutmegway/internal/platform/etcd"
-	"github.com/nutmegway/nutmegway/internal/platform/hostlist"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/etcd"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 // segmentOverhead is the size of the IP and TCP headers that is added to each
--- a/internal/lab/spread/spread.go
+++ b/internal/lab/spread/spread.go
@@ -15,7 +15,7 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/document"
 	"github.com/nutmegway/nutmegway/internal/lab/fleet"
 	"github.com/nutmegway/nutmegway/internal/lab/report"
-	"github.com/nutmegway/nutmegway/internal/platform/hostlist"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 	standinetcd "github.com/nutmegway/nutmegway/internal/standin/etcd"
 )
 
--- a/internal/lab/swap/swap.go
+++ b/internal/lab/swap/swap.go
@@ -16,7 +16,7 @@
 	"github.com/nutmegway/nutmegway/internal/base/refusal"
 	"github.com/nutmegway/nutmegway/internal/lab/deployment"
 	"github.com/nutmegway/nutmegway/internal/lab/report"
-	"github.com/nutmegway/nutmegway/internal/platform/weightstore"
+	"github.com/nutmegway/nutmegway/internal/external/weightstore"
 	standinengine "github.com/nutmegway/nutmegway/internal/standin/engine"
 	standinweights "github.com/nutmegway/nutmegway/internal/standin/weightstore"
 )
--- a/internal/request/idempotency/gatherer.go
+++ b/internal/request/idempotency/gatherer.go
@@ -13,7 +13,7 @@
 	"github.com/nutmegway/nutmegway/internal/base/rendezvous"
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/request/idempotency/idempotencypb"
 )
 
--- a/internal/request/idempotency/leases.go
+++ b/internal/request/idempotency/leases.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 // leaseSlot is the time for which records share one lease of the store. The
--- a/internal/rollout/owner/claims.go
+++ b/internal/rollout/owner/claims.go
@@ -14,7 +14,7 @@
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/fleet/lease"
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/rollout/stream"
 )
 
--- a/internal/rollout/owner/failure_test.go
+++ b/internal/rollout/owner/failure_test.go
@@ -10,7 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/rollout/stream"
 	standinengine "github.com/nutmegway/nutmegway/internal/standin/engine"
 )
--- a/internal/rollout/owner/service.go
+++ b/internal/rollout/owner/service.go
@@ -14,7 +14,7 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/fleet/server"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/request/dispatch"
 	"github.com/nutmegway/nutmegway/internal/rollout/runner"
 	"github.com/nutmegway/nutmegway/internal/rollout/schedule"
--- a/internal/rollout/owner/store_test.go
+++ b/internal/rollout/owner/store_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 // faultyStore fails commits of a stream as a test asks.
--- a/internal/rollout/stream/commit.go
+++ b/internal/rollout/stream/commit.go
@@ -12,7 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/rollout/sample"
 	"github.com/nutmegway/nutmegway/internal/rollout/version"
 )
--- a/internal/rollout/stream/load.go
+++ b/internal/rollout/stream/load.go
@@ -10,7 +10,7 @@
 
 	"github.com/zeebo/xxh3"
 
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/rollout/sample"
 )
 
--- a/internal/rollout/stream/log.go
+++ b/internal/rollout/stream/log.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/rollout/sample"
 )
 
--- a/internal/rollout/stream/log_test.go
+++ b/internal/rollout/stream/log_test.go
@@ -14,8 +14,8 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/nutmegway/nutmegway/internal/platform/etcd"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/etcd"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/rollout/sample"
 	"github.com/nutmegway/nutmegway/internal/rollout/stream"
 	standinetcd "github.com/nutmegway/nutmegway/internal/standin/etcd"
--- a/internal/rollout/stream/trim.go
+++ b/internal/rollout/stream/trim.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/rollout/sample"
 )
 
--- a/internal/rollout/weight/exclusion.go
+++ b/internal/rollout/weight/exclusion.go
@@ -10,7 +10,7 @@
 	"sync"
 
 	"github.com/nutmegway/nutmegway/internal/fleet/server"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 // excludedPrefix is the prefix of the keys that name the servers which are out
--- a/internal/rollout/weight/orderer.go
+++ b/internal/rollout/weight/orderer.go
@@ -22,7 +22,7 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/document"
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/server"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 var tracer = otel.Tracer("nutmegway/weight")
--- a/internal/rollout/weight/registry.go
+++ b/internal/rollout/weight/registry.go
@@ -13,8 +13,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
-	"github.com/nutmegway/nutmegway/internal/platform/weightstore"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
+	"github.com/nutmegway/nutmegway/internal/external/weightstore"
 )
 
 var classError = errs.Class("weight")
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -19,7 +19,7 @@
 	"golang.org/x/sync/semaphore"
 
 	backend "github.com/nutmegway/nutmegway/internal/backend/engine"
-	"github.com/nutmegway/nutmegway/internal/platform/weightstore"
+	"github.com/nutmegway/nutmegway/internal/external/weightstore"
 )
 
 // The defaults of an engine's model.
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -15,7 +15,7 @@
 	backend "github.com/nutmegway/nutmegway/internal/backend/engine"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/base/refusal"
-	"github.com/nutmegway/nutmegway/internal/platform/weightstore"
+	"github.com/nutmegway/nutmegway/internal/external/weightstore"
 )
 
 type weightVersion = weightstore.Version
--- a/internal/standin/etcd/server.go
+++ b/internal/standin/etcd/server.go
@@ -12,8 +12,8 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
-	"github.com/nutmegway/nutmegway/internal/platform/etcd/etcdserverpb"
-	"github.com/nutmegway/nutmegway/internal/platform/etcd/mvccpb"
+	"github.com/nutmegway/nutmegway/internal/external/etcd/etcdserverpb"
+	"github.com/nutmegway/nutmegway/internal/external/etcd/mvccpb"
 )
 
 const (
--- a/internal/standin/etcd/service.go
+++ b/internal/standin/etcd/service.go
@@ -13,8 +13,8 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	"github.com/nutmegway/nutmegway/internal/platform/etcd/etcdserverpb"
-	"github.com/nutmegway/nutmegway/internal/platform/etcd/mvccpb"
+	"github.com/nutmegway/nutmegway/internal/external/etcd/etcdserverpb"
+	"github.com/nutmegway/nutmegway/internal/external/etcd/mvccpb"
 )
 
 // keyValue serves ranges and transactions.
--- a/internal/standin/etcd/store_test.go
+++ b/internal/standin/etcd/store_test.go
@@ -9,8 +9,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
-	"github.com/nutmegway/nutmegway/internal/platform/etcd"
-	"github.com/nutmegway/nutmegway/internal/platform/kv"
+	"github.com/nutmegway/nutmegway/internal/external/etcd"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	standin "github.com/nutmegway/nutmegway/internal/standin/etcd"
 )
 
--- a/internal/standin/hostlist/server.go
+++ b/internal/standin/hostlist/server.go
@@ -16,7 +16,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/nutmegway/nutmegway/internal/platform/hostlist"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 )
 
 const headerTimeout = 5 * time.Second
--- a/internal/standin/hostlist/server_test.go
+++ b/internal/standin/hostlist/server_test.go
@@ -9,7 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
-	"github.com/nutmegway/nutmegway/internal/platform/hostlist"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 	standin "github.com/nutmegway/nutmegway/internal/standin/hostlist"
 )
 
--- a/internal/standin/weightstore/server.go
+++ b/internal/standin/weightstore/server.go
@@ -18,7 +18,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
-	"github.com/nutmegway/nutmegway/internal/platform/weightstore"
+	"github.com/nutmegway/nutmegway/internal/external/weightstore"
 )
 
 const (
--- a/internal/standin/weightstore/server_test.go
+++ b/internal/standin/weightstore/server_test.go
@@ -9,7 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
-	"github.com/nutmegway/nutmegway/internal/platform/weightstore"
+	"github.com/nutmegway/nutmegway/internal/external/weightstore"
 	standin "github.com/nutmegway/nutmegway/internal/standin/weightstore"
 )
 
