--- a/cmd/nutmegway/commands.go
+++ b/cmd/nutmegway/commands.go
@@ -32,6 +32,7 @@
 	addCertificate,
 	addDatagramKey,
 	addErrors,
+	addHost,
 	addQuickstart,
 	addServe,
 	addStatus,
@@ -74,11 +75,11 @@
 	return execute(commands[name], stdout, stderr)
 }
 
-// execute runs c; serve handles its signals itself, all others end with the
+// execute runs c; serve and host handle their signals themselves, all others end with the
 // first one.
 func execute(c command, stdout, stderr io.Writer) int {
 	ctx := context.Background()
-	if c.name != serveName {
+	if c.name != serveName && c.name != hostName {
 		var stop context.CancelFunc
 		ctx, stop = signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 		defer stop()
--- /dev/null
+++ b/cmd/nutmegway/hostcmd.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/nutmegway/nutmegway/internal/backend/plain"
+	"github.com/nutmegway/nutmegway/internal/base/telemetry"
+	"github.com/nutmegway/nutmegway/internal/entry/host"
+	"github.com/nutmegway/nutmegway/platform"
+)
+
+const (
+	// hostName is the command that handles its signals itself.
+	hostName = "host"
+	// logLinesPerSecond bounds the log of one process.
+	logLinesPerSecond = 400
+	// serverProbe and serverProbes let the kernel find a silent connection to a
+	// backend server within three seconds.
+	serverProbe  = time.Second
+	serverProbes = 2
+)
+
+func addHost(app *kingpin.Application) command {
+	cmd := app.Command(hostName, "Run a host on the users' platform until SIGTERM.\n\nExample: nutmegway host")
+	path := cmd.Flag("settings", "The platform's settings file.").Envar(platform.SettingsVariable).Required().String()
+	level := cmd.Flag("log-level", "The lowest level that is logged: debug, info, warn or error.").Default("info").String()
+	return command{name: cmd.FullCommand(), run: func(ctx context.Context, stdout, _ io.Writer) error {
+		settings, err := platform.LoadSettings(*path)
+		if err != nil {
+			return err
+		}
+		var lowest slog.Level
+		if err := lowest.UnmarshalText([]byte(*level)); err != nil {
+			return err
+		}
+		return runHost(ctx, settings, lowest, stdout)
+	}}
+}
+
+// runHost runs the host that the settings describe.
+func runHost(ctx context.Context, settings host.Settings, level slog.Level, stdout io.Writer) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	out := &telemetry.BoundedWriter{LinesPerSecond: logLinesPerSecond, Writer: stdout}
+	stopLog := out.Start()
+	defer stopLog()
+	logger := telemetry.NewLogger(out, level)
+	dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: serverProbe, Interval: serverProbe, Count: serverProbes,
+	}}
+	client := &plain.Client{Dial: dialer.DialContext}
+	h := &host.Host{
+		Dialect: platform.Dialect(), Documents: platform.Documents{}, Engines: platform.Engines{Plain: client},
+		Logger: logger, Plain: client, Settings: settings, Store: &platform.Store{Address: settings.StoreAddress},
+	}
+	h.SetUp()
+	callers := platform.Callers{Host: h, Logger: logger}
+	h.Callers = callers
+	h.Directory = http.HandlerFunc(callers.ServeLookup)
+	h.Readiness = http.HandlerFunc(callers.ServeReady)
+	stopSignals := onSignals(logger, h.Drain, cancel)
+	defer stopSignals()
+	if err := h.Run(ctx); err != nil && ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
--- /dev/null
+++ b/internal/backend/dialect/dialect.go
@@ -0,0 +1,22 @@
+// Package dialect names the headers that a deployment's backend servers use.
+package dialect
+
+// Dialect holds header names. An empty name means that the servers know no
+// such header.
+type Dialect struct {
+	// BudgetMillis carries the milliseconds that the caller still waits.
+	BudgetMillis string
+	// ExpectServer carries the id of the only server that may run the request.
+	ExpectServer string
+	// ExpectVersion carries the only weight version that may run the request.
+	ExpectVersion string
+	// Load is an answer's count of running and waiting requests and slots,
+	// separated by commas.
+	Load string
+	// NotRun marks an answer of a server that did not run the request.
+	NotRun string
+	// ResumeAfter carries the id of the last event that the caller has.
+	ResumeAfter string
+	// WeightVersion is an answer's weight version, also in its events.
+	WeightVersion string
+}
--- /dev/null
+++ b/internal/backend/inventory/inventory.go
@@ -0,0 +1,262 @@
+// Package inventory knows the backend servers of each service and what this
+// host has seen of them: requests in flight, loads that they told, failures.
+package inventory
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// suspectFirst is how long a server gets no new work after a failure that
+	// says nothing of the request. It doubles with each failure in a row.
+	suspectFirst = 500 * time.Millisecond
+	suspectMax   = 4 * time.Second
+	// reportAge is how long a load that a server told is counted.
+	reportAge = time.Second
+)
+
+// Server is what the platform says of one backend server.
+type Server struct {
+	Address string
+	// Busy is true while the server carries out an order.
+	Busy bool
+	// Draining servers finish what they have and get nothing new.
+	Draining bool
+	ID       string
+	// Orders counts the orders that the server has accepted since it started.
+	Orders  int64
+	Service string
+	Slots   int
+	// Started tells one start of a server from the next under the same id, in
+	// Unix milliseconds; zero if it isn't known.
+	Started int64
+	// Versions maps each model to the weight version that the server holds.
+	Versions map[string]int64
+	Zone     string
+}
+
+// Candidate is a server with this host's view of it.
+type Candidate struct {
+	Server
+
+	// InFlight is the number of requests of this host at the server.
+	InFlight int
+	// Pace is the mean time between events of streams at the server; zero when
+	// none was seen.
+	Pace time.Duration
+	// Reported is the number of requests that the server itself told, or -1
+	// when that is not known or too old.
+	Reported int
+	// Suspect is true while the server gets no new work after failures.
+	Suspect bool
+}
+
+// state is what this host has seen of one server.
+type state struct {
+	failures     int
+	inFlight     int
+	pace         time.Duration
+	reported     int
+	reportedAt   time.Time
+	suspectUntil time.Time
+	// versions are the weight versions seen in answers, newer than the entry.
+	versions map[string]int64
+}
+
+// Inventory holds the servers. It is safe for concurrent use. The zero value is
+// ready.
+type Inventory struct {
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+
+	mu      sync.Mutex
+	changed chan struct{}
+	servers map[string]Server
+	states  map[string]*state
+}
+
+// Set adds or replaces a server.
+func (v *Inventory) Set(s Server) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.servers == nil {
+		v.servers = make(map[string]Server)
+	}
+	before, known := v.servers[s.ID]
+	if known && before.Started != s.Started {
+		delete(v.states, s.ID)
+	}
+	if st := v.states[s.ID]; st != nil {
+		st.versions = nil
+	}
+	v.servers[s.ID] = s
+	v.notify()
+}
+
+// Remove forgets a server.
+func (v *Inventory) Remove(id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	delete(v.servers, id)
+	if st := v.states[id]; st != nil && st.inFlight == 0 {
+		delete(v.states, id)
+	}
+	v.notify()
+}
+
+// Get returns a server and whether it is known.
+func (v *Inventory) Get(id string) (Server, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s, ok := v.servers[id]
+	return s, ok
+}
+
+// Changed returns a channel that is closed at the next change of the servers or
+// of what is in flight.
+func (v *Inventory) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.changed == nil {
+		v.changed = make(chan struct{})
+	}
+	return v.changed
+}
+
+func (v *Inventory) notify() {
+	if v.changed != nil {
+		close(v.changed)
+		v.changed = nil
+	}
+}
+
+// Candidates returns the servers of a service that take new work, by id.
+func (v *Inventory) Candidates(service string) []Candidate {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.now()
+	var candidates []Candidate
+	for _, id := range slices.Sorted(maps.Keys(v.servers)) {
+		s := v.servers[id]
+		if s.Service != service || s.Draining {
+			continue
+		}
+		c := Candidate{Server: s, Reported: -1}
+		if st := v.states[id]; st != nil {
+			c.InFlight, c.Pace, c.Suspect = st.inFlight, st.pace, now.Before(st.suspectUntil)
+			if now.Sub(st.reportedAt) < reportAge {
+				c.Reported = st.reported
+			}
+			if len(st.versions) > 0 {
+				c.Versions = maps.Clone(s.Versions)
+				if c.Versions == nil {
+					c.Versions = make(map[string]int64)
+				}
+				maps.Copy(c.Versions, st.versions)
+			}
+		}
+		candidates = append(candidates, c)
+	}
+	return candidates
+}
+
+// Started counts a request that is sent to a server.
+func (v *Inventory) Started(id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.state(id).inFlight++
+}
+
+// Finished counts the end of a request that Started counted.
+func (v *Inventory) Finished(id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	st := v.state(id)
+	st.inFlight--
+	if _, known := v.servers[id]; !known && st.inFlight <= 0 {
+		delete(v.states, id)
+	}
+	v.notify()
+}
+
+// Answered notes a sound answer and, if told is not negative, the number of
+// requests that the server says it has.
+func (v *Inventory) Answered(id string, told int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	st := v.state(id)
+	st.failures, st.suspectUntil = 0, time.Time{}
+	if told >= 0 {
+		st.reported, st.reportedAt = told, v.now()
+	}
+}
+
+// Failed notes a failure that lies with the server. It returns how long the
+// server gets no new work.
+func (v *Inventory) Failed(id string) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	st := v.state(id)
+	wait := min(suspectFirst<<min(st.failures, 8), suspectMax)
+	st.failures++
+	st.suspectUntil = v.now().Add(wait)
+	v.notify()
+	return wait
+}
+
+// Full notes that a server refused a request because it has too many; it gets
+// no more for wait.
+func (v *Inventory) Full(id string, wait time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	st := v.state(id)
+	st.suspectUntil = v.now().Add(wait)
+}
+
+// paceWeight is the weight of one new interval in the mean pace.
+const paceWeight = 0.2
+
+// Paced notes the time between two events of a stream at a server.
+func (v *Inventory) Paced(id string, interval time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	st := v.state(id)
+	if st.pace == 0 {
+		st.pace = interval
+		return
+	}
+	st.pace += time.Duration(paceWeight * float64(interval-st.pace))
+}
+
+// SawVersion notes the weight version of a model that a server's answer told.
+func (v *Inventory) SawVersion(id, model string, version int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	st := v.state(id)
+	if st.versions == nil {
+		st.versions = make(map[string]int64)
+	}
+	st.versions[model] = version
+}
+
+func (v *Inventory) state(id string) *state {
+	if v.states == nil {
+		v.states = make(map[string]*state)
+	}
+	st, ok := v.states[id]
+	if !ok {
+		st = &state{}
+		v.states[id] = st
+	}
+	return st
+}
+
+func (v *Inventory) now() time.Time {
+	if v.Now != nil {
+		return v.Now()
+	}
+	return time.Now()
+}
--- a/internal/backend/plain/client.go
+++ b/internal/backend/plain/client.go
@@ -39,6 +39,8 @@
 	Body io.Reader
 	// Header holds the caller's headers. It is not changed.
 	Header http.Header
+	// Host is the host that the caller named; empty means the server's address.
+	Host string
 	// Length is the length of Body in bytes, or -1 when it is not known.
 	Length int64
 	Method string
@@ -154,6 +156,7 @@
 		outgoing.Header = make(http.Header)
 	}
 	removeHopByHop(outgoing.Header)
+	outgoing.Host = request.Host
 	// The body is sent at once; there is nothing to wait for.
 	outgoing.Header.Del("Expect")
 	if _, ok := outgoing.Header["User-Agent"]; !ok {
--- /dev/null
+++ b/internal/entry/host/host.go
@@ -0,0 +1,303 @@
+package host
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegway/nutmegway/internal/backend/dialect"
+	"github.com/nutmegway/nutmegway/internal/backend/generation"
+	"github.com/nutmegway/nutmegway/internal/backend/inventory"
+	"github.com/nutmegway/nutmegway/internal/backend/plain"
+	"github.com/nutmegway/nutmegway/internal/base/kind"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
+	"github.com/nutmegway/nutmegway/internal/fleet/config"
+	"github.com/nutmegway/nutmegway/internal/fleet/lease"
+	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
+	"github.com/nutmegway/nutmegway/internal/fleet/roster"
+	"github.com/nutmegway/nutmegway/internal/request/forward"
+	"github.com/nutmegway/nutmegway/internal/rollout/batch"
+	"github.com/nutmegway/nutmegway/internal/rollout/batchrun"
+	"github.com/nutmegway/nutmegway/internal/rollout/loading"
+)
+
+const (
+	// ordersLease is the name of the lease of the host that gives orders.
+	ordersLease = "orders"
+	ordersTTL   = 2 * time.Second
+	// spacingMargin is added to the least time between orders of two hosts, for
+	// orders that were under way when the earlier host stopped.
+	spacingMargin = 400 * time.Millisecond
+	// notReadyWait is when a caller comes again whose host knows no configuration.
+	notReadyWait = 300 * time.Millisecond
+	// leaveWait is how long a leaving host still takes requests. Callers have
+	// asked for addresses again by then, but for the few that keep an answer
+	// three times as long.
+	leaveWait = 3 * time.Second
+	// stopMargin is left of the grace when requests in flight are cut.
+	stopMargin = 700 * time.Millisecond
+)
+
+// Prefixes are the prefixes of keys that others write.
+type Prefixes struct {
+	Operators string
+	Servers   string
+}
+
+// Documents decodes what operators, trainers and backend servers write to the
+// store. Its methods are told the key and ignore keys of another kind.
+type Documents interface {
+	Prefixes() Prefixes
+	// Config returns a configuration; false if the key holds none.
+	Config(key string, value []byte) (*config.Config, bool, error)
+	// Server returns a backend server.
+	Server(key string, value []byte) (inventory.Server, error)
+	// Version returns a named weight version of a model.
+	Version(key string, value []byte) (model string, version int64, ok bool, err error)
+	// Retirement returns the key and value by which the system answers that a
+	// host with a disk is empty; false if the key asks for none.
+	Retirement(key string) (statusKey string, status []byte, ok bool)
+}
+
+// Host is one entry host. The exported fields are set before Run.
+type Host struct {
+	Dialect   dialect.Dialect
+	Documents Documents
+	Engines   loading.Engines
+	Logger    *slog.Logger
+	Plain     *plain.Client
+	Settings  Settings
+	Store     kv.RangeStore
+
+	// The handlers of the three listeners.
+	Callers   http.Handler
+	Directory http.Handler
+	Readiness http.Handler
+
+	// Batches and Forwarder are ready after SetUp.
+	Batches   *batchrun.Service
+	Forwarder *forward.Forwarder
+
+	config    atomic.Pointer[config.Config]
+	drain     chan struct{}
+	drainOnce sync.Once
+	giver     *loading.Giver
+	inventory *inventory.Inventory
+	leaving   atomic.Bool
+	retired   retirements
+	roster    *roster.Roster
+	runner    *batchrun.Runner
+	servers   *serverFeed
+}
+
+// SetUp builds the parts of the host.
+func (h *Host) SetUp() {
+	incarnation := uuid.NewString()
+	h.drain = make(chan struct{})
+	h.inventory = &inventory.Inventory{}
+	h.servers = &serverFeed{Documents: h.Documents, Inventory: h.inventory, Logger: h.Logger}
+	h.Forwarder = &forward.Forwarder{
+		Client: h.Plain, Dialect: h.Dialect, Inventory: h.inventory, Logger: h.Logger, Zone: h.Settings.Zone,
+	}
+	h.roster = &roster.Roster{
+		Logger: h.Logger, Store: h.Store,
+		Self: roster.Host{
+			Address: h.Settings.CallerAddress, ID: h.Settings.ID, Incarnation: incarnation, Zone: h.Settings.Zone,
+		},
+	}
+	batches := &batch.Store{KV: h.Store, Logger: h.Logger}
+	h.runner = &batchrun.Runner{
+		Batches: batches, Config: h.config.Load, Inventory: h.inventory, Logger: h.Logger,
+		Generation: &generation.Client{Dialect: h.Dialect, Logger: h.Logger, Plain: h.Plain},
+		Self:       batch.Owner{Host: h.Settings.ID, Incarnation: incarnation},
+	}
+	h.Batches = &batchrun.Service{
+		Batches: batches, Index: &batch.Index{Logger: h.Logger, OnHead: h.runner.Observe},
+		Logger: h.Logger, Roster: h.roster, Runner: h.runner,
+	}
+	h.giver = &loading.Giver{
+		Config: h.config.Load, Engines: h.Engines, Holder: h.Settings.ID, Holds: h.holdsOrders,
+		Inventory: h.inventory, Logger: h.Logger,
+	}
+	h.retired = retirements{Documents: h.Documents, Logger: h.Logger, Store: h.Store, wake: make(chan struct{}, 1)}
+}
+
+// Run serves until Drain is called or ctx ends.
+func (h *Host) Run(ctx context.Context) error {
+	h.Logger.LogAttrs(ctx, slog.LevelInfo, "host starts", slog.String("host", h.Settings.ID),
+		slog.String("incarnation", h.roster.Self.Incarnation), slog.String("zone", h.Settings.Zone),
+		slog.String("store", h.Settings.StoreAddress), slog.String("callers", h.Settings.CallerAddress))
+	defer h.Logger.LogAttrs(ctx, slog.LevelInfo, "host stopped", slog.String("host", h.Settings.ID))
+	if h.Settings.CallerAddress == "" {
+		// A host without callers holds nothing and has nothing to do.
+		select {
+		case <-ctx.Done():
+		case <-h.drain:
+		}
+		return nil
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	duties, stopDuties := context.WithCancel(ctx)
+	defer stopDuties()
+	group, groupCtx := errgroup.WithContext(ctx)
+	listeners, err := h.listen(groupCtx, group)
+	if err != nil {
+		return err
+	}
+	h.runner.Start(group)
+	for _, m := range h.mirrors() {
+		group.Go(func() error { return m.Run(groupCtx) })
+	}
+	group.Go(func() error { return h.roster.Run(groupCtx) })
+	group.Go(func() error { return h.runner.Run(groupCtx) })
+	group.Go(func() error { return h.Batches.Run(duties) })
+	holder := &lease.Holder{
+		ID: h.Settings.ID, Logger: h.Logger, Name: ordersLease, Own: h.duty, Store: h.Store, TTL: ordersTTL,
+		WaitOut: h.Settings.OrderSpacing + spacingMargin,
+	}
+	group.Go(func() error { return holder.Run(duties) })
+	group.Go(func() error {
+		select {
+		case <-groupCtx.Done():
+		case <-h.drain:
+			h.leave(groupCtx, listeners, stopDuties)
+		}
+		stop()
+		listeners.close()
+		return nil
+	})
+	return group.Wait()
+}
+
+// duty is the job of the host that holds the lease of orders.
+func (h *Host) duty(ctx context.Context, grant lease.Grant) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return h.giver.Own(ctx, grant) })
+	group.Go(func() error { return h.retired.Run(ctx) })
+	return group.Wait()
+}
+
+// holdsOrders reads back whether the lease of orders is still the one granted.
+func (h *Host) holdsOrders(ctx context.Context, grant lease.Grant) bool {
+	entry, err := h.Store.Get(ctx, lease.Key(ordersLease))
+	return err == nil && entry.CreateRevision == grant.Fence
+}
+
+func (h *Host) mirrors() []*mirror.Mirror {
+	prefixes := h.Documents.Prefixes()
+	mirrors := []*mirror.Mirror{
+		{OnChange: h.applyOperators, Prefix: prefixes.Operators},
+		{OnChange: h.servers.apply, Prefix: prefixes.Servers},
+		{OnChange: h.Batches.Index.Apply, Prefix: batch.HeadPrefix},
+	}
+	for _, m := range mirrors {
+		m.Logger, m.Store = h.Logger, h.Store
+	}
+	return append(mirrors, h.roster.Mirror())
+}
+
+// applyOperators takes over what operators and trainers wrote.
+func (h *Host) applyOperators(change mirror.Change) {
+	for _, event := range change.Events {
+		if event.Delete {
+			continue
+		}
+		key, value := event.Entry.Key, event.Entry.Value
+		h.applyConfig(key, value, event.Entry.ModRevision)
+		if model, version, ok, err := h.Documents.Version(key, value); err != nil {
+			h.Logger.Warn("named version unreadable", slog.String("key", key), slog.Any("error", err))
+		} else if ok {
+			h.giver.Named(model, version)
+		}
+		h.retired.note(key)
+	}
+}
+
+// applyConfig puts a configuration in force unless a newer one is.
+func (h *Host) applyConfig(key string, value []byte, revision int64) {
+	c, ok, err := h.Documents.Config(key, value)
+	if err != nil {
+		h.Logger.Warn("configuration unreadable", slog.String("key", key), slog.Any("error", err))
+		return
+	}
+	before := h.config.Load()
+	if !ok || before != nil && before.Version >= c.Version {
+		return
+	}
+	h.config.Store(c)
+	h.Logger.Info("configuration in force", slog.Int64("version", c.Version), slog.Int64("revision", revision),
+		slog.Int("routes", len(c.Routes)), slog.Int("services", len(c.Services)))
+}
+
+// ConfigInForce returns the configuration, or an error of kind unavailable
+// while none is known.
+func (h *Host) ConfigInForce() (*config.Config, error) {
+	c := h.config.Load()
+	if c == nil {
+		return nil, kind.New(kind.Unavailable, "no configuration is known yet").WithRetryAfter(notReadyWait)
+	}
+	return c, nil
+}
+
+// Submit accepts a batch, unless the host is leaving.
+func (h *Host) Submit(ctx context.Context, b batch.Batch) error {
+	if h.leaving.Load() {
+		return kind.New(kind.Leaving, "the host is leaving").WithRetryAfter(notReadyWait)
+	}
+	return h.Batches.Submit(ctx, b)
+}
+
+// Ready reports whether the host takes new requests.
+func (h *Host) Ready() bool { return !h.leaving.Load() && h.config.Load() != nil }
+
+// Addresses returns where callers connect and how long they may use the answer.
+func (h *Host) Addresses() ([]string, time.Duration, error) {
+	if h.config.Load() == nil {
+		return nil, 0, kind.New(kind.Unavailable, "no configuration is known yet").WithRetryAfter(notReadyWait)
+	}
+	hosts := h.roster.Hosts()
+	addresses := make([]string, 0, len(hosts))
+	for _, host := range hosts {
+		if host.Address != "" {
+			addresses = append(addresses, host.Address)
+		}
+	}
+	if len(addresses) == 0 {
+		return nil, 0, kind.New(kind.Unavailable, "no other host is known").WithRetryAfter(notReadyWait)
+	}
+	return addresses, h.Settings.addressTTL(), nil
+}
+
+// Drain begins a graceful shutdown.
+func (h *Host) Drain() {
+	h.drainOnce.Do(func() { close(h.drain) })
+}
+
+// leave lets callers and other hosts go elsewhere before the listeners close.
+func (h *Host) leave(ctx context.Context, listeners *listeners, stopDuties context.CancelFunc) {
+	began := time.Now()
+	h.leaving.Store(true)
+	h.roster.Leave()
+	stopDuties()
+	h.Logger.LogAttrs(ctx, slog.LevelInfo, "host leaves", slog.Int("batches", h.runner.Running()))
+	h.runner.Drain(ctx)
+	timer := time.NewTimer(leaveWait - time.Since(began))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	shutdownCtx, cancel := context.WithTimeout(ctx, h.Settings.grace()-stopMargin-time.Since(began))
+	defer cancel()
+	listeners.shutdown(shutdownCtx)
+	if err := h.roster.Withdraw(shutdownCtx); err != nil {
+		h.Logger.LogAttrs(ctx, slog.LevelInfo, "host entry not withdrawn", slog.Any("error", err))
+	}
+}
--- /dev/null
+++ b/internal/entry/host/listeners.go
@@ -0,0 +1,91 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// readHeaderTimeout and idleTimeout are above what configurations allow
+	// callers, so that the host never closes a connection that may carry a request.
+	readHeaderTimeout = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+// listeners are the host's HTTP servers.
+type listeners struct {
+	callers *http.Server
+	// others stay open until the host ends.
+	others []*http.Server
+	logger *slog.Logger
+}
+
+func (h *Host) listen(ctx context.Context, group *errgroup.Group) (*listeners, error) {
+	l := &listeners{logger: h.Logger}
+	l.callers = newServer(h.closing(h.Callers))
+	servers := []struct {
+		address string
+		server  *http.Server
+	}{
+		{h.Settings.CallerAddress, l.callers},
+		{h.Settings.DirectoryAddress, newServer(h.Directory)},
+		{h.Settings.ReadyAddress, newServer(h.Readiness)},
+	}
+	for _, s := range servers {
+		if s.address == "" {
+			continue
+		}
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.address)
+		if err != nil {
+			l.close()
+			return nil, classError.Wrap(err)
+		}
+		if s.server != l.callers {
+			l.others = append(l.others, s.server)
+		}
+		group.Go(func() error {
+			if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				return classError.Wrap(err)
+			}
+			return nil
+		})
+	}
+	return l, nil
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, IdleTimeout: idleTimeout, ReadHeaderTimeout: readHeaderTimeout,
+		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+	}
+}
+
+// closing asks callers to connect elsewhere once the host is leaving.
+func (h *Host) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// shutdown lets requests in flight end.
+func (l *listeners) shutdown(ctx context.Context) {
+	if err := l.callers.Shutdown(ctx); err != nil {
+		l.logger.LogAttrs(ctx, slog.LevelWarn, "requests in flight were cut", slog.Any("error", err))
+	}
+}
+
+func (l *listeners) close() {
+	_ = l.callers.Close()
+	for _, s := range l.others {
+		_ = s.Close()
+	}
+}
--- /dev/null
+++ b/internal/entry/host/settings.go
@@ -0,0 +1,84 @@
+// Package host assembles an entry host that keeps everything that must last in
+// the key-value service, and runs it from start to graceful shutdown.
+package host
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+var classError = errs.Class("host")
+
+const (
+	// DefaultGrace is the time from the order to stop to the end of the process.
+	DefaultGrace = 8 * time.Second
+	// defaultAddressTTL is how long callers keep an answer with addresses. Some
+	// keep it three times as long, which still ends within the grace.
+	defaultAddressTTL = 1500 * time.Millisecond
+)
+
+// Settings are the checked settings of one process.
+type Settings struct {
+	// CallerAddress is where callers connect; empty for a host that serves none.
+	CallerAddress string
+	// DirectoryAddress is where callers ask for addresses; empty if they don't.
+	DirectoryAddress string
+	// Grace is the time that a process has to end after it was told to.
+	Grace time.Duration
+	ID    string
+	// MaxAddressTTL bounds the time that callers keep an answer with addresses.
+	MaxAddressTTL time.Duration
+	// OrderSpacing is the least time between orders of two hosts to one engine.
+	OrderSpacing time.Duration
+	// ReadyAddress is where the platform asks whether the host is ready.
+	ReadyAddress string
+	// ResultRetention is how long results are kept after a submission.
+	ResultRetention time.Duration
+	StoreAddress    string
+	Zone            string
+}
+
+// Check returns all mistakes at once.
+func (s Settings) Check() error {
+	var mistakes []error
+	if s.ID == "" {
+		mistakes = append(mistakes, classError.New("the id of the host is missing"))
+	}
+	if s.Grace < 0 || s.MaxAddressTTL < 0 || s.OrderSpacing < 0 || s.ResultRetention < 0 {
+		mistakes = append(mistakes, classError.New("a duration is negative"))
+	}
+	addresses := map[string]string{
+		"callers": s.CallerAddress, "directory": s.DirectoryAddress, "ready": s.ReadyAddress,
+	}
+	for name, address := range addresses {
+		if err := checkAddress(address); address != "" && err != nil {
+			mistakes = append(mistakes, classError.New("address for %s: %v", name, err))
+		}
+	}
+	if err := checkAddress(s.StoreAddress); err != nil {
+		mistakes = append(mistakes, classError.New("address of the store: %v", err))
+	}
+	return errors.Join(mistakes...)
+}
+
+func checkAddress(address string) error {
+	_, _, err := net.SplitHostPort(address)
+	return err
+}
+
+func (s Settings) addressTTL() time.Duration {
+	if s.MaxAddressTTL > 0 {
+		return min(defaultAddressTTL, s.MaxAddressTTL)
+	}
+	return defaultAddressTTL
+}
+
+func (s Settings) grace() time.Duration {
+	if s.Grace > 0 {
+		return s.Grace
+	}
+	return DefaultGrace
+}
--- a/internal/external/kv/kv.go
+++ b/internal/external/kv/kv.go
@@ -5,8 +5,15 @@
 import (
 	"context"
 	"time"
+
+	"github.com/nutmegway/nutmegway/internal/base/kind"
 )
 
+// ErrCompacted is returned by Watcher.Next when the history from the watch's
+// revision on is gone. The caller lists again. After another error of a
+// RangeStore's watcher Next may be called again.
+var ErrCompacted error = kind.New(kind.Conflict, "the history of the watch is gone")
+
 // Entry is one key with its value and revisions.
 type Entry struct {
 	// CreateRevision is the revision that created the key.
@@ -99,3 +106,12 @@
 	// Watch reports changes below prefix after revision.
 	Watch(ctx context.Context, prefix string, revision int64) (Watcher, error)
 }
+
+// RangeStore is a Store that lists a part of a prefix, which lets a reader
+// continue where it stopped.
+type RangeStore interface {
+	Store
+	// ListAfter returns the entries below prefix whose keys sort after the key
+	// after, sorted by key, and the store's revision before the first was read.
+	ListAfter(ctx context.Context, prefix, after string) ([]Entry, int64, error)
+}
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -316,7 +316,10 @@
 		slog.String("lease", h.Name), slog.String("step", step), slog.Any("error", classError.Wrap(err)))
 }
 
-func (h *Holder) key() string { return keyPrefix + h.Name }
+// Key returns the key of the lease called name.
+func Key(name string) string { return keyPrefix + name }
+
+func (h *Holder) key() string { return Key(h.Name) }
 
 func (h *Holder) ttl() time.Duration {
 	if h.TTL > 0 {
--- /dev/null
+++ b/internal/fleet/roster/roster.go
@@ -0,0 +1,224 @@
+// Package roster keeps the list of the entry hosts that are alive, each under
+// a lease of its own in the key-value service.
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/nutmegway/nutmegway/internal/base/kind"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
+	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
+)
+
+// Prefix is the prefix of the keys of hosts.
+const Prefix = "nutmegway/hosts/"
+
+const (
+	// leaseTTL is how long a host stays listed after its last renewal. A dead
+	// host is gone from answers to callers before their own second try.
+	leaseTTL = 2500 * time.Millisecond
+	// renewInterval leaves room for two lost renewals.
+	renewInterval = 700 * time.Millisecond
+	retryInterval = 200 * time.Millisecond
+)
+
+// Host is one entry host.
+type Host struct {
+	// Address is where callers connect.
+	Address string `json:"address"`
+	ID      string `json:"id"`
+	// Incarnation is different at each start of the process.
+	Incarnation string `json:"incarnation"`
+	// Leaving hosts finish what they have.
+	Leaving bool   `json:"leaving"`
+	Zone    string `json:"zone"`
+}
+
+// Roster registers this host and knows the others. The fields are set before
+// Run.
+type Roster struct {
+	Logger *slog.Logger
+	// OnGone is called when a host, by its incarnation, is no longer listed.
+	OnGone func(Host)
+	Self   Host
+	Store  kv.Store
+
+	mu      sync.Mutex
+	hosts   map[string]Host
+	lease   kv.LeaseID
+	leaving bool
+	written bool
+	wake    chan struct{}
+}
+
+// Run registers this host and follows the others until ctx ends; then the
+// host's entry is removed.
+func (r *Roster) Run(ctx context.Context) error {
+	r.mu.Lock()
+	r.wakeChannel()
+	r.mu.Unlock()
+	for ctx.Err() == nil {
+		wait := renewInterval
+		if err := r.renew(ctx); err != nil {
+			if !mirror.IsLost(err) {
+				r.Logger.LogAttrs(ctx, slog.LevelWarn, "host entry not renewed", slog.Any("error", err))
+			}
+			wait = retryInterval
+		}
+		r.pause(ctx, wait)
+	}
+	return nil
+}
+
+// Leave tells the others that this host takes no new requests.
+func (r *Roster) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving, r.written = true, false
+	close(r.wakeChannel())
+	r.wake = nil
+}
+
+// Mirror returns the mirror that feeds the roster.
+func (r *Roster) Mirror() *mirror.Mirror {
+	return &mirror.Mirror{Logger: r.Logger, OnChange: r.apply, Prefix: Prefix, Store: r.Store}
+}
+
+// Hosts returns the listed hosts that take requests, by id. This host is among
+// them as long as it isn't leaving.
+func (r *Roster) Hosts() []Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var hosts []Host
+	for _, id := range slices.Sorted(maps.Keys(r.hosts)) {
+		if h := r.hosts[id]; !h.Leaving && id != r.Self.ID {
+			hosts = append(hosts, h)
+		}
+	}
+	if !r.leaving {
+		hosts = append(hosts, r.Self)
+	}
+	return hosts
+}
+
+// Alive reports whether the incarnation is listed, leaving or not.
+func (r *Roster) Alive(id, incarnation string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hosts[id].Incarnation == incarnation
+}
+
+func (r *Roster) apply(change mirror.Change) {
+	for _, event := range change.Events {
+		id := strings.TrimPrefix(event.Entry.Key, Prefix)
+		var host Host
+		if !event.Delete {
+			if err := json.Unmarshal(event.Entry.Value, &host); err != nil {
+				r.Logger.Warn("host entry unreadable", slog.String("key", event.Entry.Key), slog.Any("error", err))
+				continue
+			}
+		}
+		r.set(id, host, event.Delete)
+	}
+}
+
+// set replaces or removes one host and reports an incarnation that is gone.
+func (r *Roster) set(id string, host Host, remove bool) {
+	r.mu.Lock()
+	before, known := r.hosts[id]
+	if r.hosts == nil {
+		r.hosts = make(map[string]Host)
+	}
+	if remove {
+		delete(r.hosts, id)
+	} else {
+		r.hosts[id] = host
+	}
+	if id == r.Self.ID && (remove || host.Incarnation != r.Self.Incarnation) {
+		// The entry lapsed while this process lives; it is written again.
+		r.written = false
+		close(r.wakeChannel())
+		r.wake = nil
+	}
+	r.mu.Unlock()
+	if gone := known && (remove || before.Incarnation != host.Incarnation); gone {
+		r.Logger.Info("host gone", slog.String("host", id), slog.String("incarnation", before.Incarnation))
+		if r.OnGone != nil {
+			r.OnGone(before)
+		}
+	}
+}
+
+// renew extends the lease, and writes the entry when it isn't there.
+func (r *Roster) renew(ctx context.Context) error {
+	r.mu.Lock()
+	lease, written, self := r.lease, r.written, r.Self
+	self.Leaving = r.leaving
+	r.mu.Unlock()
+	if lease != 0 && written {
+		left, err := r.Store.KeepAlive(ctx, lease)
+		if err != nil || left > 0 {
+			return err
+		}
+		lease = 0
+	}
+	if lease == 0 {
+		granted, err := r.Store.GrantLease(ctx, leaseTTL)
+		if err != nil {
+			return err
+		}
+		lease = granted
+	}
+	value, err := json.Marshal(self)
+	if err != nil {
+		return kind.Wrap(kind.Internal, err)
+	}
+	_, err = r.Store.Commit(ctx, kv.Txn{Writes: []kv.Write{{Key: Prefix + self.ID, Lease: lease, Value: value}}})
+	if kind.Is(err, kind.NotFound) {
+		lease = 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lease = lease
+	r.written = err == nil && self.Leaving == r.leaving
+	return err
+}
+
+// Withdraw removes this host's entry at once.
+func (r *Roster) Withdraw(ctx context.Context) error {
+	r.mu.Lock()
+	lease := r.lease
+	r.mu.Unlock()
+	if lease == 0 {
+		return nil
+	}
+	return r.Store.RevokeLease(ctx, lease)
+}
+
+// wakeChannel returns the channel that ends a pause. r.mu is held.
+func (r *Roster) wakeChannel() chan struct{} {
+	if r.wake == nil {
+		r.wake = make(chan struct{})
+	}
+	return r.wake
+}
+
+func (r *Roster) pause(ctx context.Context, d time.Duration) {
+	r.mu.Lock()
+	wake := r.wakeChannel()
+	r.mu.Unlock()
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-wake:
+	}
+}
--- /dev/null
+++ b/internal/request/forward/forward.go
@@ -0,0 +1,324 @@
+// Package forward carries single requests of callers to the backend servers of
+// a route's service: it chooses the server, repeats what may be repeated, and
+// passes one whole answer back.
+package forward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegway/nutmegway/internal/backend/dialect"
+	"github.com/nutmegway/nutmegway/internal/backend/inventory"
+	"github.com/nutmegway/nutmegway/internal/backend/plain"
+	"github.com/nutmegway/nutmegway/internal/base/kind"
+	"github.com/nutmegway/nutmegway/internal/fleet/config"
+)
+
+const (
+	// bufferBytes is how much of an answer is read before any of it is passed
+	// on. An answer within it is whole before the caller sees it, so a broken
+	// one can still be replaced by that of another server.
+	bufferBytes = 256 << 10
+	// defaultBudget bounds a request whose caller and route name no time.
+	defaultBudget = 30 * time.Second
+	contentEvents = "text/event-stream"
+)
+
+// Request is one request of a caller.
+type Request struct {
+	// Arrived is when the request was read.
+	Arrived time.Time
+	Body    []byte
+	// Budget is how long the caller waits from Arrived on; zero if unknown.
+	Budget time.Duration
+	Header http.Header
+	Host   string
+	ID     string
+	Method string
+	// Target is the path with the query as the caller wrote them.
+	Target string
+}
+
+// Forwarder sends requests on. The fields are set before the first call.
+type Forwarder struct {
+	Client    *plain.Client
+	Dialect   dialect.Dialect
+	Inventory *inventory.Inventory
+	Logger    *slog.Logger
+	// Zone is the availability zone of this host.
+	Zone string
+}
+
+// answer is the outcome of one try at one server.
+type answer struct {
+	server string
+	// response is nil when there was no sound answer.
+	response *http.Response
+	// head is the start of the body, whole if rest is false.
+	head []byte
+	rest bool
+	err  error
+	ran  kind.Ran
+}
+
+func (a answer) close() {
+	if a.response != nil {
+		_ = a.response.Body.Close()
+	}
+}
+
+// Serve answers the request by a server of the route, or returns an error with
+// a kind when nothing was written to w.
+func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, request Request, route config.Route) error {
+	budget := defaultBudget
+	if request.Budget > 0 {
+		budget = request.Budget
+	}
+	if route.Timeout > 0 {
+		budget = min(budget, route.Timeout)
+	}
+	deadline := request.Arrived.Add(budget)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	x := &exchange{
+		Forwarder: f, request: request, deadline: deadline, service: route.PickService(rand.Float64()),
+		attempts: attempts{route: route, zone: f.Zone, tried: make(map[string]struct{})},
+		answers:  make(chan answer),
+	}
+	group, groupCtx := errgroup.WithContext(ctx)
+	x.group = group
+	final, err := x.run(groupCtx)
+	defer func() {
+		cancel()
+		_ = group.Wait()
+	}()
+	if err != nil {
+		f.Logger.LogAttrs(ctx, slog.LevelInfo, "request not served", slog.String("request-id", request.ID),
+			slog.String("route", route.Name), slog.String("service", x.service),
+			slog.Int("may-have-run", x.attempts.mayHaveRun), slog.Int("not-run", x.attempts.notRun),
+			slog.Duration("after", time.Since(request.Arrived)), slog.Any("error", err))
+		return err
+	}
+	defer final.close()
+	pass(w, final)
+	return nil
+}
+
+// exchange is one request on its way.
+type exchange struct {
+	*Forwarder
+
+	answers  chan answer
+	attempts attempts
+	deadline time.Time
+	group    *errgroup.Group
+	request  Request
+	service  string
+}
+
+// run tries servers until one answers, no further try is allowed or ctx ends.
+func (x *exchange) run(ctx context.Context) (answer, error) {
+	var hedge <-chan time.Time
+	var failed answer
+	x.start(ctx)
+	if delay, ok := x.attempts.hedgeDelay(); ok {
+		timer := time.NewTimer(delay)
+		defer timer.Stop()
+		hedge = timer.C
+	}
+	for x.attempts.pending > 0 {
+		select {
+		case <-ctx.Done():
+			failed.close()
+			return answer{}, x.ended(ctx)
+		case <-hedge:
+			hedge = nil
+			x.start(ctx)
+		case a := <-x.answers:
+			x.attempts.ended(a.ran)
+			if a.response != nil && x.isFinal(a) {
+				failed.close()
+				return a, nil
+			}
+			x.logTry(ctx, a)
+			if a.response != nil && a.ran != kind.RanNo {
+				failed.close()
+				failed = a
+			} else {
+				a.close()
+			}
+			x.start(ctx)
+		}
+	}
+	if failed.response != nil {
+		// All servers failed; the caller gets the last failure as it was given.
+		return failed, nil
+	}
+	if ctx.Err() != nil {
+		return answer{}, x.ended(ctx)
+	}
+	return answer{}, x.attempts.refusal()
+}
+
+// isFinal reports whether the caller gets this answer. A server's own failure
+// is repeated elsewhere when the route allows it.
+func (x *exchange) isFinal(a answer) bool {
+	if a.ran == kind.RanNo {
+		return false
+	}
+	return a.response.StatusCode < http.StatusInternalServerError || x.attempts.route.Repeat != config.RepeatFree
+}
+
+// ended is the error of a request whose time is up or whose caller has left.
+func (x *exchange) ended(ctx context.Context) error {
+	if context.Cause(ctx) == context.Canceled {
+		return kind.New(kind.Cancelled, "the caller has left")
+	}
+	if x.attempts.mayHaveRun+x.attempts.pending == 0 {
+		return kind.New(kind.DeadlineUnmet, "the time was up before a server took the request")
+	}
+	return kind.New(kind.DeadlineExceeded, "the time was up while the request was at a server")
+}
+
+// start begins another try if one is allowed and a server is left.
+func (x *exchange) start(ctx context.Context) {
+	if !x.attempts.mayStart() || ctx.Err() != nil {
+		return
+	}
+	candidate, ok := x.attempts.choose(x.Inventory.Candidates(x.service))
+	if !ok {
+		return
+	}
+	x.attempts.started(candidate.ID)
+	x.group.Go(func() error {
+		a := x.try(ctx, candidate)
+		select {
+		case x.answers <- a:
+		case <-ctx.Done():
+			a.close()
+		}
+		return nil
+	})
+}
+
+// try sends the request to one server and reads the start of its answer.
+func (x *exchange) try(ctx context.Context, candidate inventory.Candidate) answer {
+	x.Inventory.Started(candidate.ID)
+	defer x.Inventory.Finished(candidate.ID)
+	header := x.request.Header.Clone()
+	header.Set(x.Dialect.BudgetMillis, strconv.FormatInt(max(time.Until(x.deadline).Milliseconds(), 1), 10))
+	header.Set(x.Dialect.ExpectServer, candidate.ID)
+	response, err := x.Client.Do(ctx, candidate.Address, plain.Request{
+		Body: bytes.NewReader(x.request.Body), Header: header, Host: x.request.Host, Length: int64(len(x.request.Body)),
+		Method: x.request.Method, Once: x.attempts.route.Repeat != config.RepeatFree,
+		RequestID: x.request.ID, Target: x.request.Target,
+	})
+	if err != nil {
+		if ctx.Err() == nil {
+			x.Inventory.Failed(candidate.ID)
+		}
+		return answer{server: candidate.ID, err: err, ran: kind.Of(err).Ran}
+	}
+	a := answer{server: candidate.ID, response: response, ran: kind.RanYes}
+	if response.Header.Get(x.Dialect.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
+		a.ran = kind.RanNo
+		x.Inventory.Full(candidate.ID, retryAfterMin)
+		return a
+	}
+	if strings.HasPrefix(response.Header.Get("Content-Type"), contentEvents) {
+		a.rest = true
+		return a
+	}
+	a.head, err = io.ReadAll(io.LimitReader(response.Body, bufferBytes))
+	if err != nil {
+		_ = response.Body.Close()
+		return answer{server: candidate.ID, err: err, ran: kind.RanUnknown}
+	}
+	a.rest = len(a.head) == bufferBytes
+	x.Inventory.Answered(candidate.ID, LoadTold(response.Header.Get(x.Dialect.Load)))
+	return a
+}
+
+func (x *exchange) logTry(ctx context.Context, a answer) {
+	attrs := []slog.Attr{
+		slog.String("request-id", x.request.ID), slog.String("server", a.server), slog.String("ran", string(a.ran)),
+	}
+	if a.response != nil {
+		attrs = append(attrs, slog.Int("status", a.response.StatusCode))
+	}
+	if a.err != nil {
+		attrs = append(attrs, slog.Any("error", a.err))
+	}
+	x.Logger.LogAttrs(ctx, slog.LevelInfo, "try failed", attrs...)
+}
+
+// LoadTold returns the running and waiting requests of a server's load header,
+// or -1 when the header is absent or malformed.
+func LoadTold(header string) int {
+	running, rest, ok := strings.Cut(header, ",")
+	waiting, _, more := strings.Cut(rest, ",")
+	if !ok || !more {
+		return -1
+	}
+	r, errRunning := strconv.Atoi(strings.TrimSpace(running))
+	w, errWaiting := strconv.Atoi(strings.TrimSpace(waiting))
+	if errRunning != nil || errWaiting != nil || r < 0 || w < 0 {
+		return -1
+	}
+	return r + w
+}
+
+// pass writes an answer as the server gave it. One that breaks off midway
+// breaks the caller's connection too, so that it can't be taken for a whole one.
+func pass(w http.ResponseWriter, a answer) {
+	header := w.Header()
+	for name, values := range a.response.Header {
+		header[name] = values
+	}
+	if _, ok := header["Content-Type"]; !ok {
+		// A nil value keeps the library from guessing one.
+		header["Content-Type"] = nil
+	}
+	if !a.rest && header.Get("Content-Length") == "" {
+		header.Set("Content-Length", strconv.Itoa(len(a.head)))
+	}
+	w.WriteHeader(a.response.StatusCode)
+	if _, err := w.Write(a.head); err != nil || !a.rest {
+		return
+	}
+	if err := copyFlushing(w, a.response.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// copyFlushing passes bytes on as they arrive.
+func copyFlushing(w http.ResponseWriter, body io.Reader) error {
+	controller := http.NewResponseController(w)
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if _, err := w.Write(buffer[:n]); err != nil {
+				return err
+			}
+			if err := controller.Flush(); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/request/forward/policy.go
@@ -0,0 +1,118 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/nutmegway/nutmegway/internal/backend/inventory"
+	"github.com/nutmegway/nutmegway/internal/base/kind"
+	"github.com/nutmegway/nutmegway/internal/fleet/config"
+)
+
+const (
+	// hedgeShare is the share of a route's objective after which a request that
+	// may be repeated goes to a second server. An answer that starts then and
+	// takes as long as most still meets the objective.
+	hedgeShare = 0.4
+	// hedgeMin keeps routes with a very short objective from doubling each
+	// request.
+	hedgeMin = 20 * time.Millisecond
+	// crossZoneCost and suspectCost are added to a server's share of used
+	// slots. A server in another zone is taken when it has about half a slot of
+	// six less in use, a suspect one only when all others are suspect or full.
+	crossZoneCost = 0.08
+	suspectCost   = 10
+	// refusalsPerAttempt bounds the servers that are asked although others said
+	// that they are full.
+	refusalsPerAttempt = 2
+	// retryAfterMin and retryAfterSpread space the returns of refused callers,
+	// so that they do not come back together.
+	retryAfterMin    = 150 * time.Millisecond
+	retryAfterSpread = 250 * time.Millisecond
+)
+
+// attempts follows the tries of one request. It does no I/O.
+type attempts struct {
+	route config.Route
+	zone  string
+
+	// mayHaveRun counts the tries after which the request may have run.
+	mayHaveRun int
+	notRun     int
+	pending    int
+	tried      map[string]struct{}
+}
+
+// mayStart reports whether another try is allowed. Tries that are under way
+// count as having run.
+func (a *attempts) mayStart() bool {
+	limit := max(a.route.MaxAttempts, 1)
+	if a.route.Repeat != config.RepeatFree {
+		// Only a refusal leaves room for another try.
+		return a.mayHaveRun+a.pending == 0 && a.notRun < limit*refusalsPerAttempt
+	}
+	return a.mayHaveRun+a.pending < limit && a.notRun < limit*refusalsPerAttempt
+}
+
+// choose returns the untried server with the least load for a single request
+// of some ten milliseconds. Several hosts decide on loads of different age, so
+// a small random part keeps them from choosing the same server.
+func (a *attempts) choose(candidates []inventory.Candidate) (inventory.Candidate, bool) {
+	best, lowest := -1, 0.0
+	for i, c := range candidates {
+		if _, ok := a.tried[c.ID]; ok {
+			continue
+		}
+		cost := a.cost(c) + rand.Float64()*crossZoneCost/2
+		if best < 0 || cost < lowest {
+			best, lowest = i, cost
+		}
+	}
+	if best < 0 {
+		return inventory.Candidate{}, false
+	}
+	return candidates[best], true
+}
+
+func (a *attempts) cost(c inventory.Candidate) float64 {
+	cost := float64(max(c.InFlight, c.Reported)+1) / float64(max(c.Slots, 1))
+	if c.Zone != a.zone {
+		cost += crossZoneCost
+	}
+	if c.Suspect {
+		cost += suspectCost
+	}
+	return cost
+}
+
+func (a *attempts) started(id string) {
+	a.tried[id] = struct{}{}
+	a.pending++
+}
+
+// ended counts the outcome of a try.
+func (a *attempts) ended(ran kind.Ran) {
+	a.pending--
+	if ran == kind.RanNo {
+		a.notRun++
+		return
+	}
+	a.mayHaveRun++
+}
+
+// hedgeDelay returns after how long a second server is asked; false means never.
+func (a *attempts) hedgeDelay() (time.Duration, bool) {
+	if a.route.Repeat != config.RepeatFree || a.route.Streaming || a.route.Objective <= 0 {
+		return 0, false
+	}
+	return max(time.Duration(hedgeShare*float64(a.route.Objective)), hedgeMin), true
+}
+
+// refusal is the answer when no server took the request.
+func (a *attempts) refusal() error {
+	wait := retryAfterMin + rand.N(retryAfterSpread)
+	if a.mayHaveRun > 0 {
+		return kind.New(kind.OutcomeUnknown, "%d servers were tried without an answer", a.mayHaveRun)
+	}
+	return kind.New(kind.Unavailable, "no server of the service takes the request now").WithRetryAfter(wait)
+}
--- /dev/null
+++ b/internal/rollout/batch/index.go
@@ -0,0 +1,74 @@
+package batch
+
+import (
+	"log/slog"
+	"sync"
+
+	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
+)
+
+// Index holds the heads of all batches as the mirror of HeadPrefix tells them.
+// The fields are set before the first change.
+type Index struct {
+	Logger *slog.Logger
+	// OnHead is called for each head that changed.
+	OnHead func(Head)
+
+	mu    sync.Mutex
+	heads map[string]Head
+}
+
+// Apply takes over a change of the mirror.
+func (x *Index) Apply(change mirror.Change) {
+	for _, event := range change.Events {
+		if event.Delete {
+			x.mu.Lock()
+			delete(x.heads, event.Entry.Key[len(HeadPrefix):])
+			x.mu.Unlock()
+			continue
+		}
+		head, err := decodeHead(event.Entry)
+		if err != nil {
+			x.Logger.Warn("head of a batch unreadable", slog.String("key", event.Entry.Key), slog.Any("error", err))
+			continue
+		}
+		x.Put(head)
+		if x.OnHead != nil {
+			x.OnHead(head)
+		}
+	}
+}
+
+// Put notes a head that this host has read or written itself. An older one
+// than is known is dropped.
+func (x *Index) Put(head Head) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.heads == nil {
+		x.heads = make(map[string]Head)
+	}
+	if x.heads[head.ID].Revision < head.Revision {
+		x.heads[head.ID] = head
+	}
+}
+
+// Get returns the newest known head of a batch.
+func (x *Index) Get(id string) (Head, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	head, ok := x.heads[id]
+	return head, ok
+}
+
+// Open returns the heads of batches whose items still run.
+func (x *Index) Open() []Head {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var open []Head
+	for _, head := range x.heads {
+		if head.IsOpen() {
+			open = append(open, head)
+		}
+	}
+	return open
+}
--- /dev/null
+++ b/internal/rollout/batch/store.go
@@ -0,0 +1,442 @@
+package batch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/nutmegway/nutmegway/internal/base/kind"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
+)
+
+const (
+	// HeadPrefix is the prefix of the keys of heads.
+	HeadPrefix = "nutmegway/batches/"
+
+	itemsPrefix   = "nutmegway/batch-items/"
+	partialPrefix = "nutmegway/batch-partials/"
+	resultsPrefix = "nutmegway/batch-results/"
+
+	// pieceBytes is the length of one value. The service holds a megabyte of a
+	// value as base64 text.
+	pieceBytes = 600 << 10
+	// maxPieces leaves room for the head among the 32 keys of a transaction.
+	maxPieces = 30
+	// chunkResults is the highest number of results of one key, so that a
+	// reader finds the key that holds a position by its name.
+	chunkResults = 16
+	// appendChunks and appendBytes bound one call of Append. A key that is full
+	// by its bytes holds more than half of pieceBytes together with its
+	// neighbour, so the keys of a call stay below the 32 of a transaction.
+	appendChunks = 4
+	appendBytes  = 2 << 20
+	// maxIDBytes keeps all keys of a batch within the 200 bytes of a key.
+	maxIDBytes = 120
+
+	// acceptTimeout bounds how long a submission is kept waiting for the
+	// service before the caller is told to come again.
+	acceptTimeout = 1200 * time.Millisecond
+	readTimeout   = 1500 * time.Millisecond
+	retryFirst    = 30 * time.Millisecond
+	retryMax      = 300 * time.Millisecond
+	// returnAfter is when a caller whose batch could not be stored comes again.
+	returnAfter = 500 * time.Millisecond
+)
+
+// Store keeps batches in the key-value service. Its fields are set before the
+// first call.
+type Store struct {
+	KV     kv.RangeStore
+	Logger *slog.Logger
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+}
+
+func headKey(id string) string { return HeadPrefix + id }
+
+func pieceKey(id string, n int) string { return fmt.Sprintf("%s%s/%04d", itemsPrefix, id, n) }
+
+func chunkKey(id string, position int) string {
+	return fmt.Sprintf("%s%s/%08d", resultsPrefix, id, position)
+}
+
+// CheckID returns an error if id can't name a batch.
+func CheckID(id string) error {
+	if id == "" || len(id) > maxIDBytes || strings.ContainsAny(id, "/ ") {
+		return kind.New(kind.BadRequest, "the id of a batch has 1 to %d bytes without slash or space", maxIDBytes)
+	}
+	return nil
+}
+
+// Accept stores a batch with its owner. It returns the head that is stored,
+// which is that of an earlier submission if there was one. An error of kind
+// store-unavailable means that the batch isn't stored and never will be; after
+// store-write-unknown it may be.
+func (s *Store) Accept(ctx context.Context, b Batch, owner Owner) (Head, bool, error) {
+	if err := CheckID(b.ID); err != nil {
+		return Head{}, false, err
+	}
+	encoded, err := json.Marshal(b)
+	if err != nil {
+		return Head{}, false, kind.Wrap(kind.Internal, err)
+	}
+	pieces := split(encoded, pieceBytes)
+	if len(pieces) > maxPieces {
+		return Head{}, false, kind.New(kind.TooLarge, "a batch of %d bytes is too large", len(encoded))
+	}
+	head := Head{
+		ID: b.ID, Owner: owner, Pieces: len(pieces), SubmittedMillis: s.now().UnixMilli(), Total: len(b.Items),
+	}
+	value, err := json.Marshal(head)
+	if err != nil {
+		return Head{}, false, kind.Wrap(kind.Internal, err)
+	}
+	txn := kv.Txn{
+		Conditions: []kv.Condition{{Key: headKey(b.ID)}},
+		Writes:     []kv.Write{{Key: headKey(b.ID), Value: value}},
+	}
+	for n, piece := range pieces {
+		txn.Writes = append(txn.Writes, kv.Write{Key: pieceKey(b.ID, n), Value: piece})
+	}
+	result, err := s.settle(ctx, txn, acceptTimeout)
+	if err != nil {
+		return Head{}, false, err
+	}
+	if result.Committed {
+		head.Revision = result.Revision
+		return head, true, nil
+	}
+	stored, err := decodeHead(result.Current[0])
+	return stored, stored.Owner == owner && stored.SubmittedMillis == head.SubmittedMillis, err
+}
+
+// settle repeats a conditional transaction until the service has said what
+// became of it. Its conditions make a repeat harmless: whoever was first wins.
+func (s *Store) settle(ctx context.Context, txn kv.Txn, timeout time.Duration) (kv.TxnResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	unknown := false
+	for pause := retryFirst; ; pause = min(2*pause, retryMax) {
+		result, err := s.KV.Commit(ctx, txn)
+		if err == nil {
+			return result, nil
+		}
+		unknown = unknown || kind.Is(err, kind.StoreWriteUnknown)
+		if !kind.Is(err, kind.StoreUnavailable) && !kind.Is(err, kind.StoreWriteUnknown) {
+			return kv.TxnResult{}, err
+		}
+		if !wait(ctx, pause/2+rand.N(pause/2)) {
+			if unknown {
+				return kv.TxnResult{}, kind.New(kind.StoreWriteUnknown, "the write may have landed: %v", err)
+			}
+			return kv.TxnResult{}, kind.New(kind.StoreUnavailable, "the write did not land: %v", err).WithRetryAfter(returnAfter)
+		}
+	}
+}
+
+// Head reads the head of a batch. The error has kind not-found if there is
+// none.
+func (s *Store) Head(ctx context.Context, id string) (Head, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	entry, err := again(ctx, func() (kv.Entry, error) { return s.KV.Get(ctx, headKey(id)) })
+	if err != nil {
+		return Head{}, err
+	}
+	if entry.ModRevision == 0 {
+		return Head{}, kind.New(kind.NotFound, "no batch %q", id)
+	}
+	return decodeHead(entry)
+}
+
+// Load reads the items of a batch.
+func (s *Store) Load(ctx context.Context, id string) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	entries, err := again(ctx, func() ([]kv.Entry, error) {
+		entries, _, err := s.KV.ListAfter(ctx, itemsPrefix+id+"/", "")
+		return entries, err
+	})
+	if err != nil {
+		return Batch{}, err
+	}
+	var encoded []byte
+	for _, entry := range entries {
+		encoded = append(encoded, entry.Value...)
+	}
+	var b Batch
+	if err := json.Unmarshal(encoded, &b); err != nil {
+		return Batch{}, kind.Wrap(kind.Internal, err)
+	}
+	return b, nil
+}
+
+// Append lists results from position first on. The head's revision fences out
+// a host that is no longer the owner: the error has kind conflict then. With
+// last set the batch is done. It returns the head as it is stored afterwards.
+func (s *Store) Append(ctx context.Context, head Head, first int, results []Result, last bool) (Head, error) {
+	txn := kv.Txn{Conditions: []kv.Condition{{Key: headKey(head.ID), ModRevision: head.Revision}}}
+	for start := 0; start < len(results); {
+		n := chunkLength(results[start:])
+		value, err := json.Marshal(results[start : start+n])
+		if err != nil {
+			return head, kind.Wrap(kind.Internal, err)
+		}
+		key := chunkKey(head.ID, first+start)
+		txn.Conditions = append(txn.Conditions, kv.Condition{Key: key})
+		txn.Writes = append(txn.Writes, kv.Write{Key: key, Value: value})
+		start += n
+	}
+	if last {
+		done := head
+		done.Done = true
+		value, err := json.Marshal(done)
+		if err != nil {
+			return head, kind.Wrap(kind.Internal, err)
+		}
+		txn.Writes = append(txn.Writes, kv.Write{Key: headKey(head.ID), Value: value})
+	}
+	result, err := s.KV.Commit(ctx, txn)
+	if err != nil {
+		return head, err
+	}
+	if result.Committed {
+		if last {
+			head.Done, head.Revision = true, result.Revision
+		}
+		return head, nil
+	}
+	return s.landed(head, txn, result, last)
+}
+
+// chunkLength returns how many of the results one key takes.
+func chunkLength(results []Result) int {
+	size := 0
+	for n, r := range results {
+		size += len(r.Text)
+		if n == chunkResults || n > 0 && size > pieceBytes {
+			return n
+		}
+	}
+	return len(results)
+}
+
+// AppendLimit returns how many of the results one call of Append takes.
+func AppendLimit(results []Result) int {
+	size := 0
+	for n, r := range results {
+		size += len(r.Text)
+		if n == appendChunks*chunkResults || n > 0 && size > appendBytes {
+			return n
+		}
+	}
+	return len(results)
+}
+
+// landed tells whether a refused append had been carried out before, by an
+// earlier call whose answer was lost.
+func (s *Store) landed(head Head, txn kv.Txn, result kv.TxnResult, last bool) (Head, error) {
+	stored, err := decodeHead(result.Current[0])
+	if err != nil {
+		return head, err
+	}
+	for i, write := range txn.Writes {
+		if i+1 >= len(result.Current) {
+			break
+		}
+		if !bytes.Equal(result.Current[i+1].Value, write.Value) {
+			return stored, kind.New(kind.Conflict, "the batch %s has another owner or was ended", head.ID)
+		}
+	}
+	if stored.Owner != head.Owner || stored.Ended || stored.Done != last {
+		return stored, kind.New(kind.Conflict, "the batch %s has another owner or was ended", head.ID)
+	}
+	return stored, nil
+}
+
+// Claim makes owner the owner of a batch if its head is still as given. An
+// owner that gives a batch up claims it for nobody.
+func (s *Store) Claim(ctx context.Context, head Head, owner Owner) (Head, error) {
+	return s.change(ctx, head, func(h *Head) { h.Owner = owner })
+}
+
+// End marks a batch as ended by its trainer. It has kind not-found if there is
+// no such batch.
+func (s *Store) End(ctx context.Context, id string) (Head, error) {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	for {
+		head, err := s.Head(ctx, id)
+		if err != nil || head.Ended {
+			return head, err
+		}
+		ended, err := s.change(ctx, head, func(h *Head) { h.Ended = true })
+		if err == nil || !kind.Is(err, kind.Conflict) && !kind.Is(err, kind.StoreWriteUnknown) {
+			return ended, err
+		}
+		if !wait(ctx, retryFirst) {
+			return head, err
+		}
+	}
+}
+
+// change writes a head if it is still as given, and has kind conflict if not.
+func (s *Store) change(ctx context.Context, head Head, edit func(*Head)) (Head, error) {
+	changed := head
+	edit(&changed)
+	value, err := json.Marshal(changed)
+	if err != nil {
+		return head, kind.Wrap(kind.Internal, err)
+	}
+	result, err := s.settle(ctx, kv.Txn{
+		Conditions: []kv.Condition{{Key: headKey(head.ID), ModRevision: head.Revision}},
+		Writes:     []kv.Write{{Key: headKey(head.ID), Value: value}},
+	}, acceptTimeout)
+	if err != nil {
+		return head, err
+	}
+	if result.Committed {
+		changed.Revision = result.Revision
+		return changed, nil
+	}
+	stored, err := decodeHead(result.Current[0])
+	if err != nil {
+		return head, err
+	}
+	wanted := changed
+	wanted.Revision = stored.Revision
+	if stored == wanted {
+		return stored, nil
+	}
+	return stored, kind.New(kind.Conflict, "the batch %s has changed", head.ID)
+}
+
+// Results reads the results from position after on, and the revision from
+// which a watch tells of later ones.
+func (s *Store) Results(ctx context.Context, id string, after int) ([]Result, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	// A key that holds the position starts at most chunkResults before it.
+	from := ""
+	if after >= chunkResults {
+		from = chunkKey(id, after-chunkResults)
+	}
+	var revision int64
+	entries, err := again(ctx, func() ([]kv.Entry, error) {
+		entries, r, err := s.KV.ListAfter(ctx, resultsPrefix+id+"/", from)
+		revision = r
+		return entries, err
+	})
+	if err != nil {
+		return nil, 0, err
+	}
+	results, err := resultsFrom(entries, after)
+	return results, revision, err
+}
+
+// Await waits for results from position after on that are listed after
+// revision. It returns none when ctx ends first.
+func (s *Store) Await(ctx context.Context, id string, after int, revision int64) ([]Result, error) {
+	watcher, err := s.KV.Watch(ctx, resultsPrefix+id+"/", revision)
+	if err != nil {
+		return nil, err
+	}
+	defer watcher.Close()
+	batch, err := watcher.Next(ctx)
+	if err != nil {
+		return nil, err
+	}
+	entries := make([]kv.Entry, 0, len(batch.Events))
+	for _, event := range batch.Events {
+		if !event.Delete {
+			entries = append(entries, event.Entry)
+		}
+	}
+	return resultsFrom(entries, after)
+}
+
+// resultsFrom decodes keys of results, in order, from position after on.
+func resultsFrom(entries []kv.Entry, after int) ([]Result, error) {
+	var results []Result
+	next := after
+	for _, entry := range entries {
+		var first int
+		if _, err := fmt.Sscanf(entry.Key[strings.LastIndexByte(entry.Key, '/')+1:], "%d", &first); err != nil {
+			return nil, kind.Wrap(kind.Internal, err)
+		}
+		var chunk []Result
+		if err := json.Unmarshal(entry.Value, &chunk); err != nil {
+			return nil, kind.Wrap(kind.Internal, err)
+		}
+		if first > next {
+			break
+		}
+		if skip := next - first; skip < len(chunk) {
+			results = append(results, chunk[skip:]...)
+			next = first + len(chunk)
+		}
+	}
+	return results, nil
+}
+
+func decodeHead(entry kv.Entry) (Head, error) {
+	if entry.ModRevision == 0 {
+		return Head{}, kind.New(kind.NotFound, "no batch at %s", entry.Key)
+	}
+	var head Head
+	if err := json.Unmarshal(entry.Value, &head); err != nil {
+		return Head{}, kind.Wrap(kind.Internal, err)
+	}
+	head.Revision = entry.ModRevision
+	return head, nil
+}
+
+// again repeats a read until it succeeds or ctx ends.
+func again[T any](ctx context.Context, read func() (T, error)) (T, error) {
+	for pause := retryFirst; ; pause = min(2*pause, retryMax) {
+		value, err := read()
+		if err == nil || !kind.Is(err, kind.StoreUnavailable) {
+			return value, err
+		}
+		if !wait(ctx, pause/2+rand.N(pause/2)) {
+			return value, err
+		}
+	}
+}
+
+// wait reports whether d passed before ctx ended. It does not begin a wait that
+// would outlast ctx.
+func wait(ctx context.Context, d time.Duration) bool {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < d {
+		return false
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func split(data []byte, size int) [][]byte {
+	var pieces [][]byte
+	for len(data) > size {
+		pieces = append(pieces, data[:size])
+		data = data[size:]
+	}
+	return append(pieces, data)
+}
+
+func (s *Store) now() time.Time {
+	if s.Now != nil {
+		return s.Now()
+	}
+	return time.Now()
+}
--- /dev/null
+++ b/internal/rollout/batchrun/list.go
@@ -0,0 +1,172 @@
+package batchrun
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/nutmegway/nutmegway/internal/base/kind"
+	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
+	"github.com/nutmegway/nutmegway/internal/rollout/batch"
+)
+
+const (
+	// listDelay is how long results wait for others while no group is whole.
+	// Trainers read about twice a second and use whole groups only.
+	listDelay = 600 * time.Millisecond
+	// groupDelay gathers groups that become whole at nearly the same time.
+	groupDelay = 60 * time.Millisecond
+	// listRetryMin and listRetryMax bound the pause after a failed write.
+	listRetryMin = 50 * time.Millisecond
+	listRetryMax = 400 * time.Millisecond
+)
+
+// listLoop lists pending results until the run ends.
+func (x *run) listLoop() {
+	for x.ctx.Err() == nil {
+		select {
+		case <-x.ctx.Done():
+			return
+		case <-x.ready:
+		}
+		x.gather()
+		for x.listSome(x.ctx) {
+		}
+	}
+}
+
+// gather waits until enough results are there to be worth a write.
+func (x *run) gather() {
+	began := time.Now()
+	for x.ctx.Err() == nil {
+		x.runner.mu.Lock()
+		left := listDelay
+		if x.urgent {
+			left = groupDelay
+		}
+		x.runner.mu.Unlock()
+		left -= time.Since(began)
+		if left <= 0 {
+			return
+		}
+		timer := time.NewTimer(min(left, groupDelay))
+		select {
+		case <-x.ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// listSome writes one batch of pending results and reports whether more wait.
+// A write whose outcome isn't known is repeated unchanged, since it may land
+// later.
+func (x *run) listSome(ctx context.Context) bool {
+	r := x.runner
+	x.listing.Lock()
+	defer x.listing.Unlock()
+	r.mu.Lock()
+	if len(x.writing) == 0 {
+		x.writing = slices.Clone(x.pending[:batch.AppendLimit(x.pending)])
+	}
+	results, first, head := x.writing, len(x.listed), x.head
+	last := first+len(results) == head.Total
+	x.urgent = x.urgent && len(results) < len(x.pending)
+	r.mu.Unlock()
+	if len(results) == 0 {
+		return false
+	}
+	for pause := listRetryMin; ; pause = min(2*pause, listRetryMax) {
+		stored, err := r.Batches.Append(ctx, head, first, results, last)
+		if err == nil {
+			return x.wasListed(stored, results)
+		}
+		if kind.Is(err, kind.Conflict) {
+			r.Observe(stored)
+			return false
+		}
+		if !mirror.IsLost(err) {
+			r.Logger.LogAttrs(ctx, slog.LevelError, "results not listed", slog.String("batch", head.ID), slog.Any("error", err))
+		}
+		timer := time.NewTimer(pause/2 + rand.N(pause))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		case <-timer.C:
+		}
+	}
+}
+
+// wasListed takes over results that are stored now.
+func (x *run) wasListed(stored batch.Head, results []batch.Result) bool {
+	r := x.runner
+	r.mu.Lock()
+	x.head = stored
+	x.listed = append(x.listed, results...)
+	x.pending = x.pending[len(results):]
+	x.writing = nil
+	close(x.changed)
+	x.changed = make(chan struct{})
+	more := len(x.pending) > 0
+	r.mu.Unlock()
+	if stored.Done {
+		r.stop(x, stored)
+	}
+	return more
+}
+
+// handOver stops the run and lets another host go on with it.
+func (x *run) handOver(ctx context.Context) {
+	r := x.runner
+	x.cancel()
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	x.awaitStreams(ctx)
+	for x.listSome(ctx) {
+	}
+	r.mu.Lock()
+	head := x.head
+	var partials []batch.Partial
+	for _, s := range x.items {
+		if !s.done && len(s.events) > 0 {
+			partials = append(partials, batch.Partial{
+				Events: s.events, Item: s.item.ID, LastEvent: s.last, Versions: s.versions,
+			})
+		}
+	}
+	r.mu.Unlock()
+	if head.Done {
+		return
+	}
+	if err := r.Batches.SavePartials(ctx, head.ID, partials); err != nil {
+		r.Logger.LogAttrs(ctx, slog.LevelWarn, "partial texts not kept", slog.String("batch", head.ID), slog.Any("error", err))
+	}
+	released, err := r.Batches.Claim(ctx, head, batch.Owner{})
+	if err != nil {
+		r.Logger.LogAttrs(ctx, slog.LevelWarn, "batch not given up", slog.String("batch", head.ID), slog.Any("error", err))
+	}
+	r.stop(x, released)
+}
+
+// awaitStreams waits until no item of the run is at an engine.
+func (x *run) awaitStreams(ctx context.Context) {
+	const interval = 2 * time.Millisecond
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		x.runner.mu.Lock()
+		streams := x.streams
+		x.runner.mu.Unlock()
+		if streams == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/rollout/batchrun/run.go
@@ -0,0 +1,310 @@
+package batchrun
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/nutmegway/nutmegway/internal/backend/generation"
+	"github.com/nutmegway/nutmegway/internal/backend/inventory"
+	"github.com/nutmegway/nutmegway/internal/fleet/config"
+	"github.com/nutmegway/nutmegway/internal/request/forward"
+	"github.com/nutmegway/nutmegway/internal/rollout/batch"
+	"github.com/nutmegway/nutmegway/internal/rollout/placing"
+)
+
+const (
+	// fullWait is how long an engine that refused an item gets no other one.
+	fullWait = 150 * time.Millisecond
+	// maxMoves bounds how often one item leaves a slow engine.
+	maxMoves = 3
+	// paceEvents is how many intervals a run's own pace needs before it counts.
+	paceEvents = 3
+	paceWeight = 0.3
+)
+
+var errSlow = errors.New("the engine is slow")
+
+// itemState is an item on its way.
+type itemState struct {
+	item batch.Item
+	// avoid is the engine on which the item failed last.
+	avoid    string
+	done     bool
+	events   []string
+	failures int
+	last     string
+	moves    int
+	running  bool
+	started  bool
+	versions []int64
+}
+
+// run is one batch that this host owns. The fields below mu of the runner are
+// guarded by it.
+type run struct {
+	batch  batch.Batch
+	byID   map[string]int
+	cancel context.CancelFunc
+	ctx    context.Context //nolint:containedctx // It ends the streams of the run.
+	runner *Runner
+
+	// changed is closed and replaced when results were listed.
+	changed chan struct{}
+	// groupLeft counts the unfinished items of each group.
+	groupLeft map[string]int
+	head      batch.Head
+	items     []*itemState
+	listed    []batch.Result
+	// listing is held during a write of results.
+	listing sync.Mutex
+	// order holds the indexes of items in the order of their start.
+	order []int
+	// pending are results that are not yet listed.
+	pending []batch.Result
+	ready   chan struct{}
+	// streams counts the goroutines that run items.
+	streams int
+	// urgent is set when a group became whole.
+	urgent bool
+	// writing are the results of a write whose outcome isn't known yet.
+	writing []batch.Result
+}
+
+func newRun(r *Runner, head batch.Head, b batch.Batch, listed []batch.Result, partials []batch.Partial) *run {
+	x := &run{
+		batch: b, byID: make(map[string]int, len(b.Items)), changed: make(chan struct{}),
+		groupLeft: make(map[string]int), head: head, listed: listed, ready: make(chan struct{}, 1), runner: r,
+	}
+	for i, item := range b.Items {
+		x.items = append(x.items, &itemState{item: item})
+		x.byID[item.ID] = i
+		x.groupLeft[item.Group]++
+	}
+	for _, result := range listed {
+		if i, ok := x.byID[result.Item]; ok && !x.items[i].done {
+			x.items[i].done = true
+			x.groupLeft[x.items[i].item.Group]--
+		}
+	}
+	for _, p := range partials {
+		if i, ok := x.byID[p.Item]; ok && !x.items[i].done {
+			x.items[i].events, x.items[i].last, x.items[i].versions = p.Events, p.LastEvent, p.Versions
+		}
+	}
+	x.order = placing.Order(b.Items)
+	return x
+}
+
+func (x *run) count() (done, running, started int) {
+	for _, s := range x.items {
+		if s.done {
+			done++
+		}
+		if s.running {
+			running++
+		}
+		if s.started {
+			started++
+		}
+	}
+	return done, running, started
+}
+
+// place starts items on the candidates and returns them with what was placed.
+// The runner's mutex is held.
+func (x *run) place(
+	_ context.Context, route config.Route, service string, candidates []inventory.Candidate, now time.Time,
+) []inventory.Candidate {
+	for _, i := range x.order {
+		s := x.items[i]
+		if s.done || s.running {
+			continue
+		}
+		demand := placing.Demand{Avoid: s.avoid, MinVersion: x.batch.MinVersion, Model: x.batch.Model}
+		if route.SingleVersion && len(s.versions) == 1 {
+			demand.OnlyVersion = s.versions[0]
+		}
+		engine, ok := placing.Choose(candidates, demand)
+		if !ok {
+			if demand.OnlyVersion > 0 {
+				// No engine holds the version any more: the text begins anew.
+				s.reset()
+			}
+			continue
+		}
+		for j := range candidates {
+			if candidates[j].ID == engine.ID {
+				candidates[j].InFlight++
+			}
+		}
+		s.running, s.started = true, true
+		x.streams++
+		x.runner.Inventory.Started(engine.ID)
+		budget := route.ItemLimit - now.Sub(x.head.Submitted())
+		x.runner.group.Go(func() error {
+			x.runItem(s, engine, route, service, budget)
+			return nil
+		})
+	}
+	return candidates
+}
+
+func (s *itemState) reset() { s.events, s.last, s.versions = nil, "", nil }
+
+// runItem runs an item once at an engine.
+func (x *run) runItem(
+	s *itemState, engine inventory.Candidate, route config.Route, service string, budget time.Duration,
+) {
+	r := x.runner
+	began := time.Now()
+	before := len(s.events)
+	tracker := paceTracker{}
+	outcome, err := r.Generation.Run(x.ctx, generation.Request{
+		Address: engine.Address, Body: s.item.Body, Budget: budget, EventWait: eventWait, FirstWait: firstEventWait,
+		Header: s.item.Header, Host: x.batch.Host, ID: s.item.ID, ResumeAfter: s.last, Server: engine.ID,
+		Target: s.item.Target,
+	}, func(load string) {
+		r.Inventory.Answered(engine.ID, forward.LoadTold(load))
+	}, func(event generation.Event) error {
+		return x.onEvent(s, engine.ID, service, &tracker, event)
+	})
+	r.Inventory.Finished(engine.ID)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x.streams--
+	s.running = false
+	if outcome != generation.OutcomeCompleted && x.ctx.Err() == nil {
+		r.Logger.Info("item run ended", slog.String("item", s.item.ID), slog.String("batch", x.batch.ID),
+			slog.String("server", engine.ID), slog.String("outcome", string(outcome)), slog.Any("error", err),
+			slog.Duration("after", time.Since(began)), slog.Int("events", len(s.events)-before),
+			slog.Int("events-in-all", len(s.events)), slog.Duration("server-pace", engine.Pace))
+	}
+	x.settle(s, engine, route, outcome, err)
+	r.wakeUp()
+}
+
+// onEvent takes over one event. It fails if the event must not be used.
+func (x *run) onEvent(s *itemState, server, service string, tracker *paceTracker, event generation.Event) error {
+	r := x.runner
+	if event.Version > 0 {
+		r.Inventory.SawVersion(server, x.batch.Model, event.Version)
+		if event.Version < x.batch.MinVersion {
+			return errOldVersion
+		}
+	}
+	interval, ok := tracker.event(time.Now())
+	if ok {
+		r.Inventory.Paced(server, interval)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.events = append(s.events, event.Data)
+	s.last = event.ID
+	if !slices.Contains(s.versions, event.Version) {
+		s.versions = append(s.versions, event.Version)
+		slices.Sort(s.versions)
+	}
+	if s.moves < maxMoves && tracker.intervals >= paceEvents && placing.IsSlow(tracker.pace, r.typical[service]) {
+		s.moves++
+		return errSlow
+	}
+	return nil
+}
+
+var errOldVersion = errors.New("the engine's weights are older than the batch allows")
+
+// settle decides what becomes of an item after a run. The runner's mutex is held.
+func (x *run) settle(
+	s *itemState, engine inventory.Candidate, route config.Route, outcome generation.Outcome, err error,
+) {
+	inv := x.runner.Inventory
+	switch outcome {
+	case generation.OutcomeCompleted:
+		if len(s.events) == 0 || route.SingleVersion && len(s.versions) > 1 {
+			s.reset()
+			return
+		}
+		x.finish(s, batch.Result{
+			Item: s.item.ID, State: batch.StateCompleted, Text: strings.Join(s.events, "\n"), Versions: s.versions,
+		})
+	case generation.OutcomeFailed:
+		s.failures++
+		s.avoid = engine.ID
+		if s.failures >= max(route.MaxAttempts, 1) {
+			x.finish(s, batch.Result{Item: s.item.ID, State: batch.StateDead})
+		}
+	case generation.OutcomeImpossible:
+		x.finish(s, batch.Result{Item: s.item.ID, State: batch.StateDead})
+	case generation.OutcomeNotRun:
+		inv.Full(engine.ID, fullWait)
+	case generation.OutcomeStopped:
+	case generation.OutcomeBroken, generation.OutcomeStalled:
+		s.avoid = engine.ID
+		if !errors.Is(err, errSlow) && !errors.Is(err, errOldVersion) {
+			inv.Failed(engine.ID)
+		}
+	}
+}
+
+// finish notes the result of an item. The runner's mutex is held.
+func (x *run) finish(s *itemState, result batch.Result) {
+	if s.done {
+		return
+	}
+	s.done = true
+	s.events = nil
+	x.pending = append(x.pending, result)
+	x.groupLeft[s.item.Group]--
+	if x.groupLeft[s.item.Group] == 0 {
+		x.urgent = true
+	}
+	x.signal()
+}
+
+func (x *run) signal() {
+	select {
+	case x.ready <- struct{}{}:
+	default:
+	}
+}
+
+// giveUp lists all items that are not running as dead. The runner's mutex is held.
+func (x *run) giveUp(_ time.Time, reason string) {
+	for _, s := range x.items {
+		if s.done {
+			continue
+		}
+		x.runner.Logger.Info("item given up", slog.String("item", s.item.ID),
+			slog.String("batch", x.batch.ID), slog.String("reason", reason))
+		x.finish(s, batch.Result{Item: s.item.ID, State: batch.StateDead})
+	}
+	x.urgent = true
+}
+
+// paceTracker follows the intervals between the events of one run.
+type paceTracker struct {
+	intervals int
+	last      time.Time
+	pace      time.Duration
+}
+
+// event returns the interval since the event before, and false for the first.
+func (t *paceTracker) event(now time.Time) (time.Duration, bool) {
+	defer func() { t.last = now }()
+	if t.last.IsZero() {
+		return 0, false
+	}
+	interval := now.Sub(t.last)
+	t.intervals++
+	if t.pace == 0 {
+		t.pace = interval
+	} else {
+		t.pace += time.Duration(paceWeight * float64(interval-t.pace))
+	}
+	return interval, true
+}
--- /dev/null
+++ b/internal/rollout/batchrun/service.go
@@ -0,0 +1,228 @@
+package batchrun
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/nutmegway/nutmegway/internal/base/kind"
+	"github.com/nutmegway/nutmegway/internal/base/rendezvous"
+	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
+	"github.com/nutmegway/nutmegway/internal/fleet/roster"
+	"github.com/nutmegway/nutmegway/internal/rollout/batch"
+)
+
+const (
+	// sweepInterval is how often batches without a live owner are looked for.
+	sweepInterval = 300 * time.Millisecond
+	// orphanDelay is how long an owner must be missing from the list of hosts
+	// before another one takes its batches. A host whose entry lapsed while it
+	// lives writes it again within this time.
+	orphanDelay = 900 * time.Millisecond
+)
+
+// Service is what trainers ask of batches, on any host. The fields are set
+// before Run.
+type Service struct {
+	Batches *batch.Store
+	Index   *batch.Index
+	Logger  *slog.Logger
+	Roster  *roster.Roster
+	Runner  *Runner
+
+	mu sync.Mutex
+	// orphaned holds since when the owner of an open batch is missing.
+	orphaned map[string]time.Time
+}
+
+// Submit accepts a batch once. After an error whose Ran is "no" no part of it
+// runs.
+func (s *Service) Submit(ctx context.Context, b batch.Batch) error {
+	if _, ok := s.Index.Get(b.ID); ok {
+		return nil
+	}
+	head, created, err := s.Batches.Accept(ctx, b, s.Runner.Self)
+	if err != nil {
+		s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch not accepted", slog.String("batch", b.ID), slog.Any("error", err))
+		return err
+	}
+	s.Index.Put(head)
+	s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch accepted", slog.String("batch", b.ID), slog.Bool("created", created))
+	if created {
+		s.Runner.Adopt(ctx, head, b, nil, nil)
+	}
+	return nil
+}
+
+// Read returns the results from position after on. It waits for one until ctx's
+// deadline and returns a page without results then.
+func (s *Service) Read(ctx context.Context, id string, after int) (batch.Page, error) {
+	if page, ok := s.Runner.Page(ctx, id, after); ok {
+		return page, nil
+	}
+	head, err := s.head(ctx, id)
+	if err != nil {
+		return batch.Page{}, err
+	}
+	storeCtx := context.WithoutCancel(ctx)
+	results, revision, err := s.Batches.Results(storeCtx, id, after)
+	if err != nil {
+		return batch.Page{}, err
+	}
+	if len(results) == 0 && head.IsOpen() && ctx.Err() == nil {
+		// A watch that fails tells of no results; the reader asks again.
+		results, err = s.Batches.Await(ctx, id, after, revision)
+		if err != nil && ctx.Err() == nil {
+			s.Logger.LogAttrs(ctx, slog.LevelDebug, "wait for results failed", slog.String("batch", id), slog.Any("error", err))
+		}
+	}
+	return batch.Cut(results, head.Total, after), nil
+}
+
+// Body returns the body of an item.
+func (s *Service) Body(ctx context.Context, id, item string) ([]byte, error) {
+	if body, ok := s.Runner.Body(id, item); ok {
+		return body, nil
+	}
+	if _, err := s.head(ctx, id); err != nil {
+		return nil, err
+	}
+	b, err := s.Batches.Load(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	i := slices.IndexFunc(b.Items, func(i batch.Item) bool { return i.ID == item })
+	if i < 0 {
+		return nil, kind.New(kind.NotFound, "no item %q in batch %q", item, id)
+	}
+	return b.Items[i].Body, nil
+}
+
+// End stops a batch. Ending it again is a success.
+func (s *Service) End(ctx context.Context, id string) error {
+	head, err := s.Batches.End(ctx, id)
+	if err != nil {
+		s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch not ended", slog.String("batch", id), slog.Any("error", err))
+		return err
+	}
+	s.Index.Put(head)
+	s.Runner.Observe(head)
+	return nil
+}
+
+// head returns the newest head that this host knows. A batch that it doesn't
+// know may have been accepted elsewhere a moment ago, so the store decides.
+func (s *Service) head(ctx context.Context, id string) (batch.Head, error) {
+	if head, ok := s.Index.Get(id); ok {
+		return head, nil
+	}
+	if err := batch.CheckID(id); err != nil {
+		return batch.Head{}, kind.New(kind.NotFound, "no batch %q", id)
+	}
+	head, err := s.Batches.Head(context.WithoutCancel(ctx), id)
+	if err == nil {
+		s.Index.Put(head)
+	}
+	return head, err
+}
+
+// Run takes over batches whose owner is gone, until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	s.orphaned = make(map[string]time.Time)
+	for ctx.Err() == nil {
+		s.sweep(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (s *Service) sweep(ctx context.Context, now time.Time) {
+	open := s.Index.Open()
+	present := make(map[string]bool, len(open))
+	hosts := s.Roster.Hosts()
+	ids := make([]string, 0, len(hosts))
+	for _, h := range hosts {
+		ids = append(ids, h.ID)
+	}
+	for _, head := range open {
+		present[head.ID] = true
+		if s.Runner.Has(head.ID) || !s.isOrphan(head) {
+			delete(s.orphaned, head.ID)
+			continue
+		}
+		since, ok := s.orphaned[head.ID]
+		if !ok {
+			s.orphaned[head.ID], since = now, now
+		}
+		if s.isOurs(head, ids, now.Sub(since)) {
+			s.takeOver(ctx, head)
+		}
+	}
+	for id := range s.orphaned {
+		if !present[id] {
+			delete(s.orphaned, id)
+		}
+	}
+}
+
+// isOurs reports whether this host takes a batch that nobody runs. All hosts
+// that see the same list choose the same one.
+func (s *Service) isOurs(head batch.Head, hosts []string, orphaned time.Duration) bool {
+	switch head.Owner {
+	case s.Runner.Self:
+		return true
+	case batch.Owner{}:
+	default:
+		if orphaned < orphanDelay {
+			return false
+		}
+	}
+	return rendezvous.Owner(head.ID, hosts) == s.Runner.Self.Host
+}
+
+// isOrphan reports whether nobody runs the batch. A batch of this host's that
+// it does not run was stored by a call whose answer was lost.
+func (s *Service) isOrphan(head batch.Head) bool {
+	return head.Owner == s.Runner.Self || !s.Roster.Alive(head.Owner.Host, head.Owner.Incarnation)
+}
+
+// takeOver makes this host the owner of a batch and runs it.
+func (s *Service) takeOver(ctx context.Context, head batch.Head) {
+	claimed := head
+	if head.Owner != s.Runner.Self {
+		var err error
+		claimed, err = s.Batches.Claim(ctx, head, s.Runner.Self)
+		if err != nil {
+			if kind.Is(err, kind.Conflict) {
+				s.Index.Put(claimed)
+			}
+			s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch not taken over", slog.String("batch", head.ID), slog.Any("error", err))
+			return
+		}
+		s.Index.Put(claimed)
+		s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch taken over", slog.String("batch", head.ID),
+			slog.String("from", head.Owner.Host), slog.String("incarnation", head.Owner.Incarnation))
+	}
+	b, err := s.Batches.Load(ctx, head.ID)
+	if err != nil {
+		s.Logger.LogAttrs(ctx, slog.LevelWarn, "batch not loaded", slog.String("batch", head.ID), slog.Any("error", err))
+		return
+	}
+	listed, _, err := s.Batches.Results(ctx, head.ID, 0)
+	if err != nil {
+		s.Logger.LogAttrs(ctx, slog.LevelWarn, "results not loaded", slog.String("batch", head.ID), slog.Any("error", err))
+		return
+	}
+	partials, err := s.Batches.Partials(ctx, head.ID)
+	if err != nil && !mirror.IsLost(err) {
+		s.Logger.LogAttrs(ctx, slog.LevelWarn, "partial texts not loaded", slog.String("batch", head.ID), slog.Any("error", err))
+	}
+	s.Runner.Adopt(ctx, claimed, b, listed, partials)
+}
--- /dev/null
+++ b/internal/rollout/loading/giver.go
@@ -0,0 +1,246 @@
+package loading
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegway/nutmegway/internal/backend/inventory"
+	"github.com/nutmegway/nutmegway/internal/fleet/config"
+	"github.com/nutmegway/nutmegway/internal/fleet/lease"
+)
+
+const (
+	// roundInterval is how often the plan is made without a change.
+	roundInterval = 250 * time.Millisecond
+	// loadTimeout is how long an accepted order may take before the engine is
+	// asked what became of it. A load takes 0.9 s, longer when several load.
+	loadTimeout = 3 * time.Second
+	// doubtTimeout is how long an engine whose answer was lost is left alone
+	// before it is asked.
+	doubtTimeout = time.Second
+)
+
+// Verdict is an engine's answer to an order.
+type Verdict string
+
+// The verdicts.
+const (
+	VerdictAccepted Verdict = "accepted"
+	// VerdictHolds means that the engine has the version already.
+	VerdictHolds Verdict = "holds"
+	// VerdictRefused means that the engine did not take the order, since
+	// another is under way or its count of orders is another one.
+	VerdictRefused Verdict = "refused"
+)
+
+// Status is what an engine says of itself.
+type Status struct {
+	Busy     bool
+	Orders   int64
+	Versions map[string]int64
+}
+
+// Authority is what a giver shows with an order.
+type Authority struct {
+	// Fence is the fencing number, higher than that of each earlier giver.
+	Fence  int64
+	Holder string
+}
+
+// Engines passes orders to model engines.
+type Engines interface {
+	// Load orders a version. The engine takes the order only if it has accepted
+	// expected orders since its start, now or when a delayed order arrives. An
+	// error means that the outcome is not known.
+	Load(ctx context.Context, order Order, authority Authority, expected int64) (Verdict, error)
+	// Status asks an engine.
+	Status(ctx context.Context, server inventory.Server) (Status, error)
+}
+
+// Giver gives orders while this host holds the lease. The fields are set before
+// Own.
+type Giver struct {
+	Config    func() *config.Config
+	Engines   Engines
+	Holder    string
+	Inventory *inventory.Inventory
+	Logger    *slog.Logger
+	// Holds reads back at the store whether the lease is still this host's. The
+	// store can take a lease away without a sign.
+	Holds func(ctx context.Context, grant lease.Grant) bool
+
+	mu     sync.Mutex
+	named  map[string]int64
+	orders map[string]*progress
+}
+
+// progress is the newest order to one engine.
+type progress struct {
+	accepted bool
+	model    string
+	// next is the count of orders that the engine expects.
+	next int64
+	// pending is true while the engine may be loading.
+	pending bool
+	sent    time.Time
+	started int64
+	version int64
+}
+
+// Named notes the newest version of a model.
+func (g *Giver) Named(model string, version int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.named == nil {
+		g.named = make(map[string]int64)
+	}
+	if version > g.named[model] {
+		g.named[model] = version
+		g.Logger.Info("version named", slog.String("model", model), slog.Int64("version", version))
+	}
+}
+
+// Own gives orders until ctx ends. It is the job of a lease.Holder.
+func (g *Giver) Own(ctx context.Context, grant lease.Grant) error {
+	g.mu.Lock()
+	g.orders = make(map[string]*progress)
+	g.mu.Unlock()
+	ticker := time.NewTicker(roundInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		changed := g.Inventory.Changed()
+		g.round(ctx, grant)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+			// Several changes of the same moment make one round.
+			sleep(ctx, roundInterval/10)
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// round gives the orders that are due and asks the engines that are in doubt.
+func (g *Giver) round(ctx context.Context, grant lease.Grant) {
+	c := g.Config()
+	if c == nil {
+		return
+	}
+	now := time.Now()
+	group, groupCtx := errgroup.WithContext(ctx)
+	for _, service := range c.Services {
+		if len(service.Models) == 0 {
+			continue
+		}
+		orders, doubtful := g.due(service, now)
+		if len(orders) > 0 && !g.Holds(ctx, grant) {
+			g.Logger.LogAttrs(ctx, slog.LevelWarn, "orders not given, the lease is in doubt", slog.Int("orders", len(orders)))
+			orders = nil
+		}
+		for _, order := range orders {
+			group.Go(func() error {
+				g.give(groupCtx, order, grant)
+				return nil
+			})
+		}
+		for _, server := range doubtful {
+			group.Go(func() error {
+				g.ask(groupCtx, server)
+				return nil
+			})
+		}
+	}
+	_ = group.Wait()
+}
+
+// due returns the orders of one service and the engines to ask.
+func (g *Giver) due(service config.Service, now time.Time) (orders []Order, doubtful []inventory.Server) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var servers []inventory.Server
+	busy := make(map[string]bool)
+	for _, candidate := range g.Inventory.Candidates(service.Name) {
+		server := candidate.Server
+		server.Versions = candidate.Versions
+		servers = append(servers, server)
+		p := g.orders[server.ID]
+		if p == nil || p.started != server.Started {
+			p = &progress{next: server.Orders, started: server.Started}
+			g.orders[server.ID] = p
+		}
+		p.next = max(p.next, server.Orders)
+		if p.pending && server.Versions[p.model] >= p.version {
+			p.pending = false
+			g.Logger.Info("engine holds version", slog.String("server", server.ID), slog.String("model", p.model),
+				slog.Int64("version", p.version), slog.Duration("after", now.Sub(p.sent)))
+		}
+		if !p.pending {
+			continue
+		}
+		busy[server.ID] = true
+		if wait := now.Sub(p.sent); wait > loadTimeout || !p.accepted && wait > doubtTimeout {
+			doubtful = append(doubtful, server)
+		}
+	}
+	return Plan(servers, service.Models, g.named, busy), doubtful
+}
+
+// give sends one order.
+func (g *Giver) give(ctx context.Context, order Order, grant lease.Grant) {
+	g.mu.Lock()
+	p := g.orders[order.Server.ID]
+	p.accepted, p.model, p.pending, p.sent, p.version = false, order.Model, true, time.Now(), order.Version
+	expected := p.next
+	g.mu.Unlock()
+	verdict, err := g.Engines.Load(ctx, order, Authority{Fence: grant.Fence, Holder: g.Holder}, expected)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch verdict {
+	case VerdictAccepted:
+		p.accepted, p.next = true, expected+1
+	case VerdictHolds:
+		p.pending = false
+		g.Inventory.SawVersion(order.Server.ID, order.Model, order.Version)
+	case VerdictRefused:
+		// Asked at the next round.
+		p.sent = p.sent.Add(-doubtTimeout)
+	}
+	g.Logger.LogAttrs(ctx, slog.LevelInfo, "load ordered", slog.String("server", order.Server.ID),
+		slog.String("model", order.Model), slog.Int64("version", order.Version), slog.Int64("expected", expected),
+		slog.Int64("fence", grant.Fence), slog.String("verdict", string(verdict)), slog.Any("error", err))
+}
+
+// ask learns from an engine what became of its order.
+func (g *Giver) ask(ctx context.Context, server inventory.Server) {
+	status, err := g.Engines.Status(ctx, server)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.orders[server.ID]
+	if err != nil {
+		p.sent = time.Now()
+		g.Logger.LogAttrs(ctx, slog.LevelInfo, "engine did not tell its state", slog.String("server", server.ID), slog.Any("error", err))
+		return
+	}
+	p.next = status.Orders
+	p.pending = status.Busy
+	p.accepted, p.sent = true, time.Now()
+	for model, version := range status.Versions {
+		g.Inventory.SawVersion(server.ID, model, version)
+	}
+	g.Logger.LogAttrs(ctx, slog.LevelInfo, "engine told its state", slog.String("server", server.ID),
+		slog.Bool("busy", status.Busy), slog.Int64("orders", status.Orders), slog.Any("versions", status.Versions))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
