--- a/internal/backend/inventory/inventory.go
+++ b/internal/backend/inventory/inventory.go
@@ -26,10 +26,8 @@
 	// Draining servers finish what they have and get nothing new.
 	Draining bool
 	ID       string
-	// Orders counts the orders that the server has accepted since it started.
-	Orders  int64
-	Service string
-	Slots   int
+	Service  string
+	Slots    int
 	// Started tells one start of a server from the next under the same id, in
 	// Unix milliseconds; zero if it isn't known.
 	Started int64
--- a/internal/entry/host/feeds.go
+++ b/internal/entry/host/feeds.go
@@ -64,7 +64,7 @@
 			before.Started != server.Started || !maps.Equal(before.Versions, server.Versions) {
 			f.Logger.Info("server changed", slog.String("server", id), slog.String("service", server.Service),
 				slog.String("address", server.Address), slog.Bool("draining", server.Draining),
-				slog.Any("versions", server.Versions), slog.Int64("orders", server.Orders),
+				slog.Any("versions", server.Versions),
 				slog.Int64("revision", event.Entry.ModRevision))
 		}
 		f.Inventory.Set(server)
--- a/internal/rollout/loading/giver.go
+++ b/internal/rollout/loading/giver.go
@@ -81,8 +81,10 @@
 // progress is the newest order to one engine.
 type progress struct {
 	accepted bool
-	model    string
-	// next is the count of orders that the engine expects.
+	// known is true once the engine has told how many orders it has accepted.
+	known bool
+	model string
+	// next is the number of orders that the engine has accepted.
 	next int64
 	// pending is true while the engine may be loading.
 	pending bool
@@ -170,10 +172,9 @@
 		servers = append(servers, server)
 		p := g.orders[server.ID]
 		if p == nil || p.started != server.Started {
-			p = &progress{next: server.Orders, started: server.Started}
+			p = &progress{started: server.Started}
 			g.orders[server.ID] = p
 		}
-		p.next = max(p.next, server.Orders)
 		if p.pending && server.Versions[p.model] >= p.version {
 			p.pending = false
 			g.Logger.Info("engine holds version", slog.String("server", server.ID), slog.String("model", p.model),
@@ -187,7 +188,14 @@
 			doubtful = append(doubtful, server)
 		}
 	}
-	return Plan(servers, service.Models, g.named, busy), doubtful
+	for _, order := range Plan(servers, service.Models, g.named, busy) {
+		if g.orders[order.Server.ID].known {
+			orders = append(orders, order)
+		} else {
+			doubtful = append(doubtful, order.Server)
+		}
+	}
+	return orders, doubtful
 }
 
 // give sends one order.
@@ -226,7 +234,7 @@
 		g.Logger.LogAttrs(ctx, slog.LevelInfo, "engine did not tell its state", slog.String("server", server.ID), slog.Any("error", err))
 		return
 	}
-	p.next = status.Orders
+	p.known, p.next = true, status.Orders
 	p.pending = status.Busy
 	p.accepted, p.sent = true, time.Now()
 	for model, version := range status.Versions {
