Notice a dropped history of the store within 1.5 s, and follow the fleet by one watch

Change: the watch of operators' keys waits 1.5 s at most and tells the other mirrors when the history is gone; hosts, leases and batches lie under one prefix; a lease that is known to be held is not asked for; news is gathered for 120 ms. Ruled out: a cut of the host (fraser-d-1 was not cut).

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -34,6 +34,13 @@
 	// spacingMargin is added to the least time between orders of two hosts, for
 	// orders that were under way when the earlier host stopped.
 	spacingMargin = 400 * time.Millisecond
+	// operatorsWait bounds how long a dropped history of the store stays
+	// unnoticed. A configuration is in force everywhere two seconds after it was
+	// accepted.
+	operatorsWait = 1500 * time.Millisecond
+	// gatherChanges is the pause after news of servers and hosts. Leaving
+	// servers take requests for two more seconds.
+	gatherChanges = 120 * time.Millisecond
 	// notReadyWait is when a caller comes again whose host knows no configuration.
 	notReadyWait = 300 * time.Millisecond
 	// leaveWait is how long a leaving host still takes requests. Callers have
@@ -90,6 +97,7 @@
 	giver     *loading.Giver
 	inventory *inventory.Inventory
 	leaving   atomic.Bool
+	live      *mirror.Mirror
 	retired   retirements
 	roster    *roster.Roster
 	runner    *batchrun.Runner
@@ -152,14 +160,15 @@
 		return err
 	}
 	h.runner.Start(group)
-	for _, m := range h.mirrors() {
+	mirrors := h.mirrors()
+	for _, m := range mirrors {
 		group.Go(func() error { return m.Run(groupCtx) })
 	}
 	group.Go(func() error { return h.roster.Run(groupCtx) })
 	group.Go(func() error { return h.runner.Run(groupCtx) })
 	group.Go(func() error { return h.Batches.Run(duties) })
 	holder := &lease.Holder{
-		ID: h.Settings.ID, Logger: h.Logger, Name: ordersLease, Own: h.duty, Store: h.Store, TTL: ordersTTL,
+		ID: h.Settings.ID, Known: h.live.Entry, Logger: h.Logger, Name: ordersLease, Own: h.duty, Store: h.Store, TTL: ordersTTL,
 		WaitOut: h.Settings.OrderSpacing + spacingMargin,
 	}
 	group.Go(func() error { return holder.Run(duties) })
@@ -190,17 +199,23 @@
 	return err == nil && entry.CreateRevision == grant.Fence
 }
 
+// mirrors returns the mirrors of operators, backend servers and the fleet.
 func (h *Host) mirrors() []*mirror.Mirror {
 	prefixes := h.Documents.Prefixes()
+	h.live = &mirror.Mirror{Gather: gatherChanges, Prefix: mirror.LivePrefix, OnChange: func(c mirror.Change) {
+		h.roster.Apply(c)
+		h.Batches.Index.Apply(c)
+	}}
 	mirrors := []*mirror.Mirror{
-		{OnChange: h.applyOperators, Prefix: prefixes.Operators},
-		{OnChange: h.servers.apply, Prefix: prefixes.Servers},
-		{OnChange: h.Batches.Index.Apply, Prefix: batch.HeadPrefix},
+		{OnChange: h.applyOperators, Prefix: prefixes.Operators, Wait: operatorsWait},
+		{Gather: gatherChanges, OnChange: h.servers.apply, Prefix: prefixes.Servers},
+		h.live,
 	}
+	compaction := new(mirror.Compaction)
 	for _, m := range mirrors {
-		m.Logger, m.Store = h.Logger, h.Store
+		m.Compaction, m.Logger, m.Store = compaction, h.Logger, h.Store
 	}
-	return append(mirrors, h.roster.Mirror())
+	return mirrors
 }
 
 // applyOperators takes over what operators and trainers wrote.
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -10,10 +10,15 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
+// LivePrefix is the prefix of the few keys that each host follows.
+const LivePrefix = "nutmegway/live/"
+
 const (
 	// retryFirst and retryMax bound the pause after a failed call. The longest
 	// one keeps a fleet of hundreds far below the service's rate during an
@@ -31,42 +36,77 @@
 	Outage time.Duration
 }
 
+// Compaction lets all mirrors of a process list again as soon as one of them
+// learns that the store dropped its history. A watch that waits at the store
+// may hear of that only at the end of its wait. The zero value is ready.
+type Compaction struct {
+	mu   sync.Mutex
+	gone chan struct{}
+}
+
+// Gone returns a channel that is closed when the history is next dropped.
+func (c *Compaction) Gone() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.gone == nil {
+		c.gone = make(chan struct{})
+	}
+	return c.gone
+}
+
+// Report tells all mirrors that the history was dropped.
+func (c *Compaction) Report() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.gone != nil {
+		close(c.gone)
+		c.gone = nil
+	}
+}
+
 // Mirror follows one prefix. The fields are set before Run.
 type Mirror struct {
+	// Compaction is shared by the mirrors of a process; nil stands alone.
+	Compaction *Compaction
+	// Gather is the pause after a change, so that changes of the same moment
+	// come in one call. Zero asks again at once.
+	Gather time.Duration
 	Logger *slog.Logger
 	// OnChange is called for each change in order, by one goroutine.
 	OnChange func(Change)
 	Prefix   string
 	Store    kv.Store
+	// Wait bounds how long one call waits at the store. Zero leaves it to the
+	// store's client. A short wait notices a dropped history soon.
+	Wait time.Duration
 
-	mu sync.Mutex
-	// confirmed is when the service last answered.
-	confirmed time.Time
-	known     map[string]kv.Entry
-	listed    bool
+	mu    sync.Mutex
+	known map[string]kv.Entry
 }
 
 // Run follows the prefix until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
+	if m.Compaction == nil {
+		m.Compaction = new(Compaction)
+	}
 	pause := retryFirst
 	var watcher kv.Watcher
 	var lostSince time.Time
 	for ctx.Err() == nil {
 		next, err := m.step(ctx, watcher, lostSince)
-		if err == nil {
+		switch {
+		case err == nil:
 			if !lostSince.IsZero() {
 				m.Logger.LogAttrs(ctx, slog.LevelInfo, "store regained", slog.String("prefix", m.Prefix),
 					slog.Duration("outage", time.Since(lostSince)))
 			}
 			watcher, lostSince, pause = next, time.Time{}, retryFirst
 			continue
-		}
-		if errors.Is(err, kv.ErrCompacted) {
+		case errors.Is(err, kv.ErrCompacted):
 			m.Logger.LogAttrs(ctx, slog.LevelInfo, "history gone, listing again", slog.String("prefix", m.Prefix))
 			watcher = nil
 			continue
-		}
-		if lostSince.IsZero() && ctx.Err() == nil {
+		case lostSince.IsZero() && ctx.Err() == nil:
 			lostSince = time.Now()
 			m.Logger.LogAttrs(ctx, slog.LevelWarn, "store lost", slog.String("prefix", m.Prefix), slog.Any("error", err))
 		}
@@ -78,26 +118,66 @@
 
 // step lists when there is no watcher, and otherwise waits for one batch.
 func (m *Mirror) step(ctx context.Context, watcher kv.Watcher, lostSince time.Time) (kv.Watcher, error) {
-	var outage time.Duration
-	if !lostSince.IsZero() {
-		outage = time.Since(lostSince)
-	}
+	gone := m.Compaction.Gone()
 	if watcher == nil {
 		entries, revision, err := m.Store.List(ctx, m.Prefix)
 		if err != nil {
 			return nil, err
 		}
-		m.apply(m.difference(entries), outage)
+		m.apply(m.difference(entries), outageSince(lostSince))
 		return m.Store.Watch(ctx, m.Prefix, revision)
 	}
-	batch, err := watcher.Next(ctx)
+	batch, err := m.next(ctx, watcher, gone)
 	if err != nil {
 		return nil, err
 	}
-	m.apply(batch.Events, outage)
+	m.apply(batch.Events, outageSince(lostSince))
+	if len(batch.Events) > 0 && m.Gather > 0 {
+		sleep(ctx, m.Gather)
+	}
 	return watcher, nil
 }
 
+// next waits for one batch. It fails with ErrCompacted as soon as any mirror of
+// the process has learned that the history was dropped.
+func (m *Mirror) next(ctx context.Context, watcher kv.Watcher, gone <-chan struct{}) (kv.Batch, error) {
+	nextCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if m.Wait > 0 {
+		nextCtx, cancel = context.WithTimeout(nextCtx, m.Wait)
+		defer cancel()
+	}
+	var group errgroup.Group
+	group.Go(func() error {
+		select {
+		case <-gone:
+			cancel()
+		case <-nextCtx.Done():
+		}
+		return nil
+	})
+	batch, err := watcher.Next(nextCtx)
+	cancel()
+	_ = group.Wait()
+	if errors.Is(err, kv.ErrCompacted) {
+		m.Compaction.Report()
+		return batch, err
+	}
+	select {
+	case <-gone:
+		return kv.Batch{}, kv.ErrCompacted
+	default:
+		return batch, err
+	}
+}
+
+func outageSince(lost time.Time) time.Duration {
+	if lost.IsZero() {
+		return 0
+	}
+	return time.Since(lost)
+}
+
 // difference returns the events that lead from the copy to entries.
 func (m *Mirror) difference(entries []kv.Entry) []kv.Event {
 	m.mu.Lock()
@@ -130,7 +210,6 @@
 		}
 		m.known[event.Entry.Key] = event.Entry
 	}
-	m.confirmed, m.listed = time.Now(), true
 	m.mu.Unlock()
 	if m.OnChange != nil && (len(events) > 0 || outage > 0) {
 		m.OnChange(Change{Events: events, Outage: outage})
@@ -145,13 +224,6 @@
 	return entry, ok
 }
 
-// Listed reports whether the prefix has been read at least once.
-func (m *Mirror) Listed() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.listed
-}
-
 // IsLost reports whether err leaves open what the service holds, so that the
 // call is worth repeating.
 func IsLost(err error) bool {
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -18,7 +18,7 @@
 )
 
 // Prefix is the prefix of the keys of hosts.
-const Prefix = "nutmegway/hosts/"
+const Prefix = mirror.LivePrefix + "hosts/"
 
 const (
 	// leaseTTL is how long a host stays listed after its last renewal. A dead
@@ -86,11 +86,6 @@
 	r.wake = nil
 }
 
-// Mirror returns the mirror that feeds the roster.
-func (r *Roster) Mirror() *mirror.Mirror {
-	return &mirror.Mirror{Logger: r.Logger, OnChange: r.apply, Prefix: Prefix, Store: r.Store}
-}
-
 // Hosts returns the listed hosts that take requests, by id. This host is among
 // them as long as it isn't leaving.
 func (r *Roster) Hosts() []Host {
@@ -115,9 +110,13 @@
 	return r.hosts[id].Incarnation == incarnation
 }
 
-func (r *Roster) apply(change mirror.Change) {
+// Apply takes over what the mirror of LivePrefix says of hosts.
+func (r *Roster) Apply(change mirror.Change) {
 	for _, event := range change.Events {
-		id := strings.TrimPrefix(event.Entry.Key, Prefix)
+		id, ok := strings.CutPrefix(event.Entry.Key, Prefix)
+		if !ok {
+			continue
+		}
 		var host Host
 		if !event.Delete {
 			if err := json.Unmarshal(event.Entry.Value, &host); err != nil {
--- a/internal/rollout/batch/index.go
+++ b/internal/rollout/batch/index.go
@@ -2,12 +2,13 @@
 
 import (
 	"log/slog"
+	"strings"
 	"sync"
 
 	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
 )
 
-// Index holds the heads of all batches as the mirror of HeadPrefix tells them.
+// Index holds the heads of all batches as a mirror tells them.
 // The fields are set before the first change.
 type Index struct {
 	Logger *slog.Logger
@@ -18,12 +19,16 @@
 	heads map[string]Head
 }
 
-// Apply takes over a change of the mirror.
+// Apply takes over what the mirror of LivePrefix says of batches.
 func (x *Index) Apply(change mirror.Change) {
 	for _, event := range change.Events {
+		id, ok := strings.CutPrefix(event.Entry.Key, HeadPrefix)
+		if !ok {
+			continue
+		}
 		if event.Delete {
 			x.mu.Lock()
-			delete(x.heads, event.Entry.Key[len(HeadPrefix):])
+			delete(x.heads, id)
 			x.mu.Unlock()
 			continue
 		}
--- a/internal/rollout/batch/store.go
+++ b/internal/rollout/batch/store.go
@@ -12,11 +12,12 @@
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
+	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
 )
 
 const (
 	// HeadPrefix is the prefix of the keys of heads.
-	HeadPrefix = "nutmegway/batches/"
+	HeadPrefix = mirror.LivePrefix + "batches/"
 
 	itemsPrefix   = "nutmegway/batch-items/"
 	partialPrefix = "nutmegway/batch-partials/"
