Move long generations to faster engines, and list results by what waits for them

Cause: items of 174 events take 6.7 s on an engine at 38 ms an event and 8.7 s on one at 50 ms, so a step that drew a slow engine for its longest item was late. Change: from 40 events on a run moves for a gain of 12 in 100, others from a factor of 2; only if a faster engine has a free slot. Results of whole groups are listed after 350 ms, those of a finished step after 10 ms. Ruled out: waiting in the engines' queues (all items started at once).

--- a/internal/rollout/batchrun/list.go
+++ b/internal/rollout/batchrun/list.go
@@ -12,12 +12,33 @@
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
 )
 
+// urgency is how soon pending results are worth a write.
+type urgency int
+
+// The urgencies, in rising order: single results, a group that became whole,
+// and the last group that the trainer waits for.
 const (
-	// listDelay is how long results wait for others while no group is whole.
-	// Trainers read about twice a second and use whole groups only.
-	listDelay = 600 * time.Millisecond
-	// groupDelay gathers groups that become whole at nearly the same time.
-	groupDelay = 60 * time.Millisecond
+	urgencyResult urgency = iota
+	urgencyGroup
+	urgencyStep
+)
+
+// delay returns how long results wait for others. Trainers use whole groups
+// only, read about twice a second, and go on once their last group is there.
+func (u urgency) delay() time.Duration {
+	switch u {
+	case urgencyStep:
+		return 10 * time.Millisecond
+	case urgencyGroup:
+		return 350 * time.Millisecond
+	default:
+		return time.Second
+	}
+}
+
+const (
+	// gatherInterval is how often a wait for more results looks at its urgency.
+	gatherInterval = 20 * time.Millisecond
 	// listRetryMin and listRetryMax bound the pause after a failed write.
 	listRetryMin = 50 * time.Millisecond
 	listRetryMax = 400 * time.Millisecond
@@ -42,16 +63,13 @@
 	began := time.Now()
 	for x.ctx.Err() == nil {
 		x.runner.mu.Lock()
-		left := listDelay
-		if x.urgent {
-			left = groupDelay
-		}
+		left := x.urgent.delay()
 		x.runner.mu.Unlock()
 		left -= time.Since(began)
 		if left <= 0 {
 			return
 		}
-		timer := time.NewTimer(min(left, groupDelay))
+		timer := time.NewTimer(min(left, gatherInterval))
 		select {
 		case <-x.ctx.Done():
 		case <-timer.C:
@@ -73,7 +91,9 @@
 	}
 	results, first, head := x.writing, len(x.listed), x.head
 	last := first+len(results) == head.Total
-	x.urgent = x.urgent && len(results) < len(x.pending)
+	if len(results) == len(x.pending) {
+		x.urgent = urgencyResult
+	}
 	r.mu.Unlock()
 	if len(results) == 0 {
 		return false
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -22,9 +22,10 @@
 	fullWait = 150 * time.Millisecond
 	// maxMoves bounds how often one item leaves a slow engine.
 	maxMoves = 3
-	// paceEvents is how many intervals a run's own pace needs before it counts.
-	paceEvents = 3
+	// paceWeight is the weight of one new interval in a run's mean pace.
 	paceWeight = 0.3
+	// lookInterval is the least time between two looks for a faster engine.
+	lookInterval = 250 * time.Millisecond
 )
 
 var errSlow = errors.New("the engine is slow")
@@ -69,8 +70,10 @@
 	ready   chan struct{}
 	// streams counts the goroutines that run items.
 	streams int
-	// urgent is set when a group became whole.
-	urgent bool
+	// urgent is how soon the pending results are worth a write.
+	urgent urgency
+	// whole is the number of groups all of whose items are finished.
+	whole int
 	// writing are the results of a write whose outcome isn't known yet.
 	writing []batch.Result
 }
@@ -91,6 +94,11 @@
 			x.groupLeft[x.items[i].item.Group]--
 		}
 	}
+	for _, left := range x.groupLeft {
+		if left == 0 {
+			x.whole++
+		}
+	}
 	for _, p := range partials {
 		if i, ok := x.byID[p.Item]; ok && !x.items[i].done {
 			x.items[i].events, x.items[i].last, x.items[i].versions = p.Events, p.LastEvent, p.Versions
@@ -125,10 +133,7 @@
 		if s.done || s.running {
 			continue
 		}
-		demand := placing.Demand{Avoid: s.avoid, MinVersion: x.batch.MinVersion, Model: x.batch.Model}
-		if route.SingleVersion && len(s.versions) == 1 {
-			demand.OnlyVersion = s.versions[0]
-		}
+		demand := x.demand(s, route.SingleVersion)
 		engine, ok := placing.Choose(candidates, demand)
 		if !ok {
 			if demand.OnlyVersion > 0 {
@@ -178,11 +183,12 @@
 	defer r.mu.Unlock()
 	x.streams--
 	s.running = false
-	if outcome != generation.OutcomeCompleted && x.ctx.Err() == nil {
+	if x.ctx.Err() == nil {
 		r.Logger.Info("item run ended", slog.String("item", s.item.ID), slog.String("batch", x.batch.ID),
 			slog.String("server", engine.ID), slog.String("outcome", string(outcome)), slog.Any("error", err),
 			slog.Duration("after", time.Since(began)), slog.Int("events", len(s.events)-before),
-			slog.Int("events-in-all", len(s.events)), slog.Duration("server-pace", engine.Pace))
+			slog.Int("events-in-all", len(s.events)), slog.Int("hint", s.item.LengthHint),
+			slog.Int("tokens", s.item.Tokens), slog.Duration("pace", tracker.pace), slog.Duration("server-pace", engine.Pace))
 	}
 	x.settle(s, engine, route, outcome, err)
 	r.wakeUp()
@@ -209,13 +215,38 @@
 		s.versions = append(s.versions, event.Version)
 		slices.Sort(s.versions)
 	}
-	if s.moves < maxMoves && tracker.intervals >= paceEvents && placing.IsSlow(tracker.pace, r.typical[service]) {
+	if x.shouldMove(s, server, service, tracker) {
 		s.moves++
 		return errSlow
 	}
 	return nil
 }
 
+// shouldMove reports whether a run leaves its engine for a faster one. The
+// runner's mutex is held.
+func (x *run) shouldMove(s *itemState, server, service string, tracker *paceTracker) bool {
+	run := placing.Run{Events: len(s.events), Intervals: tracker.intervals, Pace: tracker.pace}
+	if s.moves >= maxMoves || !placing.MayMove(run, x.runner.typical[service]) {
+		return false
+	}
+	if tracker.last.Sub(tracker.looked) < lookInterval {
+		return false
+	}
+	tracker.looked = tracker.last
+	demand := x.demand(s, false)
+	demand.Avoid = server
+	return placing.HasFaster(x.runner.Inventory.Candidates(service), demand, run)
+}
+
+// demand is what an item needs of an engine.
+func (x *run) demand(s *itemState, singleVersion bool) placing.Demand {
+	demand := placing.Demand{Avoid: s.avoid, MinVersion: x.batch.MinVersion, Model: x.batch.Model}
+	if singleVersion && len(s.versions) == 1 {
+		demand.OnlyVersion = s.versions[0]
+	}
+	return demand
+}
+
 var errOldVersion = errors.New("the engine's weights are older than the batch allows")
 
 // settle decides what becomes of an item after a run. The runner's mutex is held.
@@ -261,7 +292,11 @@
 	x.pending = append(x.pending, result)
 	x.groupLeft[s.item.Group]--
 	if x.groupLeft[s.item.Group] == 0 {
-		x.urgent = true
+		x.whole++
+		x.urgent = max(x.urgent, urgencyGroup)
+		if x.whole >= x.batch.TargetGroups || x.whole == len(x.groupLeft) {
+			x.urgent = urgencyStep
+		}
 	}
 	x.signal()
 }
@@ -283,14 +318,16 @@
 			slog.String("batch", x.batch.ID), slog.String("reason", reason))
 		x.finish(s, batch.Result{Item: s.item.ID, State: batch.StateDead})
 	}
-	x.urgent = true
+	x.urgent = urgencyStep
 }
 
 // paceTracker follows the intervals between the events of one run.
 type paceTracker struct {
 	intervals int
 	last      time.Time
-	pace      time.Duration
+	// looked is when a faster engine was last looked for.
+	looked time.Time
+	pace   time.Duration
 }
 
 // event returns the interval since the event before, and false for the first.
--- a/internal/rollout/placing/placing.go
+++ b/internal/rollout/placing/placing.go
@@ -21,13 +21,23 @@
 	// an empty one of the same pace. Engines slow down by about a tenth; the
 	// rest spreads the items over the zones and leaves slots for other hosts.
 	fillCost = 0.4
-	// otherModelsShare is the share of an engine's slots up to which one host
-	// fills it, so that hosts that place at the same moment do not queue.
+	// fullShare is the share of an engine's slots up to which it is filled. What
+	// comes beyond waits in the engine and can't be placed better any more.
 	fullShare = 1.0
 	// slowRatio is how much slower than the median an engine's events must come
 	// for a run to move to another one. A resumed run loses only the time to
-	// read its text again.
+	// read its text again, some ten milliseconds.
 	slowRatio = 2.0
+	// slowEvents is how many intervals such a run waits, so that one pause moves
+	// nothing.
+	slowEvents = 3
+	// longEvents is from how many events on a run is likely to be one of the few
+	// that last many times as long as most. It moves for a smaller gain.
+	longEvents = 40
+	longRatio  = 1.12
+	// avoidCost is the factor by which the engine on which an item failed last
+	// counts as slower.
+	avoidCost = 4
 )
 
 // Demand is what an item needs of an engine.
@@ -50,7 +60,7 @@
 		}
 		cost := cost(c, typical)
 		if c.ID == demand.Avoid {
-			cost *= 2 * slowRatio
+			cost *= avoidCost
 		}
 		if best < 0 || cost < lowest {
 			best, lowest = i, cost
@@ -99,10 +109,39 @@
 	return paces[len(paces)/2]
 }
 
-// IsSlow reports whether a run whose events come every pace should move, given
-// the typical pace of the engines.
-func IsSlow(pace, typical time.Duration) bool {
-	return typical > 0 && float64(pace) > slowRatio*float64(typical)
+// Run is what is known of a run at an engine.
+type Run struct {
+	// Events is the number of events of the item so far, at all engines.
+	Events int
+	// Intervals is the number of intervals that Pace was taken from.
+	Intervals int
+	// Pace is the mean time between the run's events.
+	Pace time.Duration
+}
+
+// MayMove reports whether a run's events come so slowly that another engine is
+// worth looking for, given the typical pace of the engines.
+func MayMove(run Run, typical time.Duration) bool {
+	if typical <= 0 || run.Intervals < slowEvents {
+		return false
+	}
+	return exceeds(run.Pace, slowRatio, typical) || run.Events >= longEvents && exceeds(run.Pace, longRatio, typical)
+}
+
+// HasFaster reports whether an engine with a free slot is known to be faster
+// than the run by enough to move it there.
+func HasFaster(candidates []inventory.Candidate, demand Demand, run Run) bool {
+	for _, c := range candidates {
+		free := !c.Suspect && Used(c) < fullShare*float64(c.Slots)
+		if free && c.ID != demand.Avoid && Allows(c, demand) && c.Pace > 0 && exceeds(run.Pace, longRatio, c.Pace) {
+			return true
+		}
+	}
+	return false
+}
+
+func exceeds(pace time.Duration, ratio float64, other time.Duration) bool {
+	return float64(pace) > ratio*float64(other)
 }
 
 // Order returns the indexes of the items in the order in which they start: the
