--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -147,7 +147,7 @@
 }
 
 // Page returns the listed results from position after on, waiting for one until
-// ctx ends. It returns false if this host doesn't run the batch.
+// ctx ends. It returns false if this host doesn't run the batch any more.
 func (r *Runner) Page(ctx context.Context, id string, after int) (batch.Page, bool) {
 	for {
 		r.mu.Lock()
@@ -164,6 +164,8 @@
 		select {
 		case <-changed:
 		case <-x.ctx.Done():
+			// The batch is being handed over or has ended.
+			return batch.Page{}, false
 		case <-ctx.Done():
 			return batch.Page{Next: after, Total: total}, true
 		}
