Give each engine its own giver of orders, chosen by the list of hosts

Cause: one host held the right to order all engines. Change: the first host by rendezvous for an engine orders it; the list of hosts is read at the store before each round, and its revision is the fencing number. A new first host waits the spacing and 0.9 s. Turns to load are kept by time. Also: a host that takes a batch over claims it by compare-and-swap even if it seems its own, and looks at the newest head after adopting.

--- a/internal/entry/host/feeds.go
+++ b/internal/entry/host/feeds.go
@@ -96,8 +96,11 @@
 // retirements answers operators who ask for hosts with disks to be emptied.
 type retirements struct {
 	Documents Documents
-	Logger    *slog.Logger
-	Store     kv.Store
+	// Duty reports whether an answer falls to this host. Two hosts that both
+	// think so write the same.
+	Duty   func(key string) bool
+	Logger *slog.Logger
+	Store  kv.Store
 
 	mu      sync.Mutex
 	pending map[string][]byte
@@ -122,13 +125,16 @@
 	}
 }
 
-// Run answers until ctx ends. One host runs it at a time.
+// Run answers until ctx ends.
 func (r *retirements) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		pending := maps.Clone(r.pending)
 		r.mu.Unlock()
 		for key, status := range pending {
+			if !r.Duty(key) {
+				continue
+			}
 			_, err := r.Store.Commit(ctx, kv.Txn{Writes: []kv.Write{{Key: key, Value: status}}})
 			r.Logger.LogAttrs(ctx, slog.LevelInfo, "retirement answered", slog.String("key", key), slog.Any("error", err))
 			if err == nil {
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -16,9 +16,9 @@
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
 	"github.com/nutmegway/nutmegway/internal/backend/plain"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
+	"github.com/nutmegway/nutmegway/internal/base/rendezvous"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
-	"github.com/nutmegway/nutmegway/internal/fleet/lease"
 	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
 	"github.com/nutmegway/nutmegway/internal/fleet/roster"
 	"github.com/nutmegway/nutmegway/internal/request/forward"
@@ -28,12 +28,6 @@
 )
 
 const (
-	// ordersLease is the name of the lease of the host that gives orders.
-	ordersLease = "orders"
-	ordersTTL   = 2 * time.Second
-	// spacingMargin is added to the least time between orders of two hosts, for
-	// orders that were under way when the earlier host stopped.
-	spacingMargin = 400 * time.Millisecond
 	// operatorsWait bounds how long a dropped history of the store stays
 	// unnoticed. A configuration is in force everywhere two seconds after it was
 	// accepted.
@@ -129,11 +123,12 @@
 		Batches: batches, Index: &batch.Index{Logger: h.Logger, OnHead: h.runner.Observe},
 		Logger: h.Logger, Roster: h.roster, Runner: h.runner,
 	}
+	h.runner.OnHead = h.Batches.Index.Put
 	h.giver = &loading.Giver{
-		Config: h.config.Load, Engines: h.Engines, Holder: h.Settings.ID, Holds: h.holdsOrders,
-		Inventory: h.inventory, Logger: h.Logger,
+		Config: h.config.Load, Engines: h.Engines, Fleet: h.fleet, Inventory: h.inventory, Logger: h.Logger,
+		Self: h.Settings.ID, Spacing: h.Settings.OrderSpacing,
 	}
-	h.retired = retirements{Documents: h.Documents, Logger: h.Logger, Store: h.Store, wake: make(chan struct{}, 1)}
+	h.retired = retirements{Duty: h.isFirst, Documents: h.Documents, Logger: h.Logger, Store: h.Store, wake: make(chan struct{}, 1)}
 }
 
 // Run serves until Drain is called or ctx ends.
@@ -167,11 +162,8 @@
 	group.Go(func() error { return h.roster.Run(groupCtx) })
 	group.Go(func() error { return h.runner.Run(groupCtx) })
 	group.Go(func() error { return h.Batches.Run(duties) })
-	holder := &lease.Holder{
-		ID: h.Settings.ID, Known: h.live.Entry, Logger: h.Logger, Name: ordersLease, Own: h.duty, Store: h.Store, TTL: ordersTTL,
-		WaitOut: h.Settings.OrderSpacing + spacingMargin,
-	}
-	group.Go(func() error { return holder.Run(duties) })
+	group.Go(func() error { return h.giver.Run(duties) })
+	group.Go(func() error { return h.retired.Run(duties) })
 	group.Go(func() error {
 		select {
 		case <-groupCtx.Done():
@@ -185,18 +177,13 @@
 	return group.Wait()
 }
 
-// duty is the job of the host that holds the lease of orders.
-func (h *Host) duty(ctx context.Context, grant lease.Grant) error {
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return h.giver.Own(ctx, grant) })
-	group.Go(func() error { return h.retired.Run(ctx) })
-	return group.Wait()
-}
-
-// holdsOrders reads back whether the lease of orders is still the one granted.
-func (h *Host) holdsOrders(ctx context.Context, grant lease.Grant) bool {
-	entry, err := h.Store.Get(ctx, lease.Key(ordersLease))
-	return err == nil && entry.CreateRevision == grant.Fence
+// fleet reads the list of living hosts at the store.
+func (h *Host) fleet(ctx context.Context) (loading.Fleet, error) {
+	hosts, revision, err := roster.Read(ctx, h.Store)
+	if err != nil {
+		return loading.Fleet{}, err
+	}
+	return loading.Fleet{Hosts: roster.IDs(hosts), Revision: revision}, nil
 }
 
 // mirrors returns the mirrors of operators, backend servers and the fleet.
@@ -204,6 +191,7 @@
 	prefixes := h.Documents.Prefixes()
 	h.live = &mirror.Mirror{Gather: gatherChanges, Prefix: mirror.LivePrefix, OnChange: func(c mirror.Change) {
 		h.roster.Apply(c)
+		h.giver.Observe(roster.IDs(h.roster.Listed()))
 		h.Batches.Index.Apply(c)
 	}}
 	mirrors := []*mirror.Mirror{
@@ -218,6 +206,11 @@
 	return mirrors
 }
 
+// isFirst reports whether a duty that needs no exclusion falls to this host.
+func (h *Host) isFirst(duty string) bool {
+	return rendezvous.Owner(duty, roster.IDs(h.roster.Listed())) == h.Settings.ID
+}
+
 // applyOperators takes over what operators and trainers wrote.
 func (h *Host) applyOperators(change mirror.Change) {
 	for _, event := range change.Events {
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -103,6 +103,51 @@
 	return hosts
 }
 
+// Listed returns the hosts that are listed and not leaving, by id, whether or
+// not they include this one.
+func (r *Roster) Listed() []Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return present(r.hosts)
+}
+
+// Read reads the listed hosts that are not leaving at the store, and the store's
+// revision.
+func Read(ctx context.Context, store kv.Store) ([]Host, int64, error) {
+	entries, revision, err := store.List(ctx, Prefix)
+	if err != nil {
+		return nil, 0, err
+	}
+	hosts := make(map[string]Host, len(entries))
+	for _, entry := range entries {
+		var host Host
+		if err := json.Unmarshal(entry.Value, &host); err != nil {
+			return nil, 0, kind.Wrap(kind.Internal, err)
+		}
+		hosts[host.ID] = host
+	}
+	return present(hosts), revision, nil
+}
+
+func present(hosts map[string]Host) []Host {
+	var list []Host
+	for _, id := range slices.Sorted(maps.Keys(hosts)) {
+		if !hosts[id].Leaving {
+			list = append(list, hosts[id])
+		}
+	}
+	return list
+}
+
+// IDs returns the ids of hosts.
+func IDs(hosts []Host) []string {
+	ids := make([]string, 0, len(hosts))
+	for _, h := range hosts {
+		ids = append(ids, h.ID)
+	}
+	return ids
+}
+
 // Alive reports whether the incarnation is listed, leaving or not.
 func (r *Roster) Alive(id, incarnation string) bool {
 	r.mu.Lock()
--- a/internal/rollout/batchrun/list.go
+++ b/internal/rollout/batchrun/list.go
@@ -104,6 +104,7 @@
 			return x.wasListed(stored, results)
 		}
 		if kind.Is(err, kind.Conflict) {
+			r.OnHead(stored)
 			r.Observe(stored)
 			return false
 		}
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -41,7 +41,10 @@
 	Generation *generation.Client
 	Inventory  *inventory.Inventory
 	Logger     *slog.Logger
-	Self       batch.Owner
+	// OnHead is told a head that the store holds and that this host did not
+	// expect.
+	OnHead func(batch.Head)
+	Self   batch.Owner
 
 	mu       sync.Mutex
 	draining bool
--- a/internal/rollout/batchrun/service.go
+++ b/internal/rollout/batchrun/service.go
@@ -51,7 +51,7 @@
 	s.Index.Put(head)
 	s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch accepted", slog.String("batch", b.ID), slog.Bool("created", created))
 	if created {
-		s.Runner.Adopt(ctx, head, b, nil, nil)
+		s.adopt(ctx, head, b, nil, nil)
 	}
 	return nil
 }
@@ -195,21 +195,19 @@
 
 // takeOver makes this host the owner of a batch and runs it.
 func (s *Service) takeOver(ctx context.Context, head batch.Head) {
-	claimed := head
-	if head.Owner != s.Runner.Self {
-		var err error
-		claimed, err = s.Batches.Claim(ctx, head, s.Runner.Self)
-		if err != nil {
-			if kind.Is(err, kind.Conflict) {
-				s.Index.Put(claimed)
-			}
-			s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch not taken over", slog.String("batch", head.ID), slog.Any("error", err))
-			return
+	// The head that this host knows may be old. Only a claim on the stored head
+	// shows that the batch is still open, also if it seems to be this host's.
+	claimed, err := s.Batches.Claim(ctx, head, s.Runner.Self)
+	if err != nil {
+		if kind.Is(err, kind.Conflict) {
+			s.Index.Put(claimed)
 		}
-		s.Index.Put(claimed)
-		s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch taken over", slog.String("batch", head.ID),
-			slog.String("from", head.Owner.Host), slog.String("incarnation", head.Owner.Incarnation))
+		s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch not taken over", slog.String("batch", head.ID), slog.Any("error", err))
+		return
 	}
+	s.Index.Put(claimed)
+	s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch taken over", slog.String("batch", head.ID),
+		slog.String("from", head.Owner.Host), slog.String("incarnation", head.Owner.Incarnation))
 	b, err := s.Batches.Load(ctx, head.ID)
 	if err != nil {
 		s.Logger.LogAttrs(ctx, slog.LevelWarn, "batch not loaded", slog.String("batch", head.ID), slog.Any("error", err))
@@ -224,5 +222,15 @@
 	if err != nil && !mirror.IsLost(err) {
 		s.Logger.LogAttrs(ctx, slog.LevelWarn, "partial texts not loaded", slog.String("batch", head.ID), slog.Any("error", err))
 	}
-	s.Runner.Adopt(ctx, claimed, b, listed, partials)
+	s.adopt(ctx, claimed, b, listed, partials)
+}
+
+// adopt runs a batch, unless it was ended or claimed while it was loaded.
+func (s *Service) adopt(
+	ctx context.Context, head batch.Head, b batch.Batch, listed []batch.Result, partials []batch.Partial,
+) {
+	s.Runner.Adopt(ctx, head, b, listed, partials)
+	if newest, ok := s.Index.Get(head.ID); ok && newest.Revision > head.Revision {
+		s.Runner.Observe(newest)
+	}
 }
--- a/internal/rollout/loading/giver.go
+++ b/internal/rollout/loading/giver.go
@@ -10,7 +10,6 @@
 
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
-	"github.com/nutmegway/nutmegway/internal/fleet/lease"
 )
 
 const (
@@ -19,6 +18,9 @@
 	// loadTimeout is how long an accepted order may take before the engine is
 	// asked what became of it. A load takes 0.9 s, longer when several load.
 	loadTimeout = 3 * time.Second
+	// orderSlack is added to the least time between orders of two hosts: an
+	// order may still be under way for this long after the list of hosts was read.
+	orderSlack = 900 * time.Millisecond
 	// doubtTimeout is how long an engine whose answer was lost is left alone
 	// before it is asked.
 	doubtTimeout = time.Second
@@ -51,6 +53,12 @@
 	Holder string
 }
 
+// Fleet is the list of living hosts as the store holds it at Revision.
+type Fleet struct {
+	Hosts    []string
+	Revision int64
+}
+
 // Engines passes orders to model engines.
 type Engines interface {
 	// Load orders a version. The engine takes the order only if it has accepted
@@ -61,26 +69,45 @@
 	Status(ctx context.Context, server inventory.Server) (Status, error)
 }
 
-// Giver gives orders while this host holds the lease. The fields are set before
-// Own.
+// Giver gives orders to the engines that are this host's: those for which it
+// ranks first among the living hosts. The right to order follows from the list
+// of hosts alone, which is read at the store before each round of orders; the
+// store's revision is the fencing number. A host that became first for an
+// engine waits until no order of the host before can be under way any more. The
+// loss of a host leaves only its own engines without orders for that time. The
+// fields are set before Run.
 type Giver struct {
-	Config    func() *config.Config
-	Engines   Engines
-	Holder    string
+	Config  func() *config.Config
+	Engines Engines
+	// Fleet reads the list of living hosts at the store.
+	Fleet     func(ctx context.Context) (Fleet, error)
 	Inventory *inventory.Inventory
 	Logger    *slog.Logger
-	// Holds reads back at the store whether the lease is still this host's. The
-	// store can take a lease away without a sign.
-	Holds func(ctx context.Context, grant lease.Grant) bool
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+	// Self is the id of this host.
+	Self string
+	// Spacing is the least time between orders of two hosts to one engine.
+	Spacing time.Duration
 
 	mu     sync.Mutex
 	named  map[string]int64
 	orders map[string]*progress
+	rights rights
+}
+
+// target is a version that an engine is to hold.
+type target struct {
+	model   string
+	version int64
 }
 
 // progress is the newest order to one engine.
 type progress struct {
 	accepted bool
+	// due is the next order, and dueSince since when it is due.
+	due      target
+	dueSince time.Time
 	// known is true once the engine has told how many orders it has accepted.
 	known bool
 	model string
@@ -106,16 +133,24 @@
 	}
 }
 
-// Own gives orders until ctx ends. It is the job of a lease.Holder.
-func (g *Giver) Own(ctx context.Context, grant lease.Grant) error {
+// Observe takes over the list of living hosts as this host has heard of it.
+func (g *Giver) Observe(hosts []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rights.hosts = hosts
+}
+
+// Run gives orders until ctx ends.
+func (g *Giver) Run(ctx context.Context) error {
 	g.mu.Lock()
 	g.orders = make(map[string]*progress)
+	g.rights.self, g.rights.spacing = g.Self, g.Spacing+orderSlack
 	g.mu.Unlock()
 	ticker := time.NewTicker(roundInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		changed := g.Inventory.Changed()
-		g.round(ctx, grant)
+		g.round(ctx)
 		select {
 		case <-ctx.Done():
 		case <-changed:
@@ -128,38 +163,67 @@
 }
 
 // round gives the orders that are due and asks the engines that are in doubt.
-func (g *Giver) round(ctx context.Context, grant lease.Grant) {
+func (g *Giver) round(ctx context.Context) {
 	c := g.Config()
 	if c == nil {
 		return
 	}
-	now := time.Now()
-	group, groupCtx := errgroup.WithContext(ctx)
+	var orders []Order
+	var doubtful []inventory.Server
 	for _, service := range c.Services {
-		if len(service.Models) == 0 {
-			continue
-		}
-		orders, doubtful := g.due(service, now)
-		if len(orders) > 0 && !g.Holds(ctx, grant) {
-			g.Logger.LogAttrs(ctx, slog.LevelWarn, "orders not given, the lease is in doubt", slog.Int("orders", len(orders)))
-			orders = nil
-		}
-		for _, order := range orders {
-			group.Go(func() error {
-				g.give(groupCtx, order, grant)
-				return nil
-			})
-		}
-		for _, server := range doubtful {
-			group.Go(func() error {
-				g.ask(groupCtx, server)
-				return nil
-			})
+		if len(service.Models) > 0 {
+			due, ask := g.due(service, g.now())
+			orders, doubtful = append(orders, due...), append(doubtful, ask...)
 		}
 	}
+	orders, fence := g.permitted(ctx, orders)
+	group, groupCtx := errgroup.WithContext(ctx)
+	for _, order := range orders {
+		group.Go(func() error {
+			g.give(groupCtx, order, fence)
+			return nil
+		})
+	}
+	for _, server := range doubtful {
+		group.Go(func() error {
+			g.ask(groupCtx, server)
+			return nil
+		})
+	}
 	_ = group.Wait()
 }
 
+// permitted returns the orders that this host may give now, and their fencing
+// number.
+func (g *Giver) permitted(ctx context.Context, orders []Order) ([]Order, int64) {
+	if len(orders) == 0 {
+		return nil, 0
+	}
+	fleet, err := g.Fleet(ctx)
+	if err != nil {
+		g.Logger.LogAttrs(ctx, slog.LevelWarn, "orders not given, the list of hosts is unknown",
+			slog.Int("orders", len(orders)), slog.Any("error", err))
+		return nil, 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rights.hosts = fleet.Hosts
+	var permitted []Order
+	for _, order := range orders {
+		if g.rights.may(order.Server.ID, g.now()) {
+			permitted = append(permitted, order)
+		}
+	}
+	return permitted, fleet.Revision
+}
+
+func (g *Giver) now() time.Time {
+	if g.Now != nil {
+		return g.Now()
+	}
+	return time.Now()
+}
+
 // due returns the orders of one service and the engines to ask.
 func (g *Giver) due(service config.Service, now time.Time) (orders []Order, doubtful []inventory.Server) {
 	g.mu.Lock()
@@ -170,6 +234,8 @@
 		server := candidate.Server
 		server.Versions = candidate.Versions
 		servers = append(servers, server)
+		// The right to an engine counts from when it began, not from the first order.
+		g.rights.may(server.ID, now)
 		p := g.orders[server.ID]
 		if p == nil || p.started != server.Started {
 			p = &progress{started: server.Started}
@@ -188,10 +254,16 @@
 			doubtful = append(doubtful, server)
 		}
 	}
-	for _, order := range Plan(servers, service.Models, g.named, busy) {
-		if g.orders[order.Server.ID].known {
+	for rank, order := range Plan(servers, service.Models, g.named, busy) {
+		p := g.orders[order.Server.ID]
+		if due := (target{order.Model, order.Version}); p.due != due {
+			p.due, p.dueSince = due, now
+		}
+		switch {
+		case !g.rights.may(order.Server.ID, now) || now.Sub(p.dueSince) < Delay(rank, len(servers)):
+		case p.known:
 			orders = append(orders, order)
-		} else {
+		default:
 			doubtful = append(doubtful, order.Server)
 		}
 	}
@@ -199,13 +271,13 @@
 }
 
 // give sends one order.
-func (g *Giver) give(ctx context.Context, order Order, grant lease.Grant) {
+func (g *Giver) give(ctx context.Context, order Order, fence int64) {
 	g.mu.Lock()
 	p := g.orders[order.Server.ID]
 	p.accepted, p.model, p.pending, p.sent, p.version = false, order.Model, true, time.Now(), order.Version
 	expected := p.next
 	g.mu.Unlock()
-	verdict, err := g.Engines.Load(ctx, order, Authority{Fence: grant.Fence, Holder: g.Holder}, expected)
+	verdict, err := g.Engines.Load(ctx, order, Authority{Fence: fence, Holder: g.Self}, expected)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch verdict {
@@ -220,7 +292,7 @@
 	}
 	g.Logger.LogAttrs(ctx, slog.LevelInfo, "load ordered", slog.String("server", order.Server.ID),
 		slog.String("model", order.Model), slog.Int64("version", order.Version), slog.Int64("expected", expected),
-		slog.Int64("fence", grant.Fence), slog.String("verdict", string(verdict)), slog.Any("error", err))
+		slog.Int64("fence", fence), slog.String("verdict", string(verdict)), slog.Any("error", err))
 }
 
 // ask learns from an engine what became of its order.
--- a/internal/rollout/loading/plan.go
+++ b/internal/rollout/loading/plan.go
@@ -1,10 +1,12 @@
 // Package loading brings named weight versions to the model engines of a
-// service. One host at a time gives the orders.
+// service. Each engine has one host that gives its
+// orders.
 package loading
 
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
 )
@@ -18,6 +20,8 @@
 	// share the source of the weights and take longer each.
 	loadingShare = 5
 	minLoading   = 2
+	// loadTime is how long one engine loads while no more than that load.
+	loadTime = 900 * time.Millisecond
 )
 
 // Order asks one engine to load a version of a model.
@@ -27,9 +31,10 @@
 	Version int64
 }
 
-// Plan decides which engines load now. servers are the engines of one service
-// that are not leaving, named the newest version of each model, busy the
-// engines that are loading.
+// Plan decides which engines have to load, in the order of their turns. servers
+// are the engines of one service that are not leaving, named the newest version
+// of each model, busy the engines that are loading as far as this host knows.
+// An engine has one order at a time.
 //
 // The load that it answers: several trainers name a version every few seconds,
 // each load empties an engine's cache of the model, and each step accepts the
@@ -38,7 +43,6 @@
 // other half serves meanwhile.
 func Plan(servers []inventory.Server, models []string, named map[string]int64, busy map[string]bool) []Order {
 	servers = slices.SortedFunc(slices.Values(servers), func(a, b inventory.Server) int { return cmp.Compare(a.ID, b.ID) })
-	limit := max(minLoading, len(servers)/loadingShare) - len(busy)
 	var orders []Order
 	for n, model := range models {
 		for i, server := range servers {
@@ -52,15 +56,20 @@
 	slices.SortStableFunc(orders, func(a, b Order) int {
 		return cmp.Compare(b.Version-b.Server.Versions[b.Model], a.Version-a.Server.Versions[a.Model])
 	})
-	var chosen []Order
 	taken := make(map[string]bool)
-	for _, order := range orders {
-		if len(chosen) < limit && !taken[order.Server.ID] {
-			taken[order.Server.ID] = true
-			chosen = append(chosen, order)
-		}
-	}
-	return chosen
+	return slices.DeleteFunc(orders, func(o Order) bool {
+		again := taken[o.Server.ID]
+		taken[o.Server.ID] = true
+		return again
+	})
+}
+
+// Delay returns how long the order of a rank in the plan waits after it became
+// due, so that hosts which do not hear of each other's orders still load a few
+// engines at a time. The ranks fall as engines finish.
+func Delay(rank, engines int) time.Duration {
+	atOnce := max(minLoading, engines/loadingShare)
+	return time.Duration(rank/atOnce) * loadTime
 }
 
 // serves reports whether the engine at index i serves model n of count. With a
