Test batches, their owners and the givers of orders; take up batches that were given up

Cause: a batch that a leaving host had given up was taken for one with a living owner, since the roster found no host under the empty name and compared empty incarnations. TestLeavingHostHandsItsTextOver hung on it. TestLostAnswerIsAskedFor found that an order whose answer was lost made the next one be refused. Also: internal/standin/kvmemory, a store in memory with refused, lost and late calls.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -152,7 +152,8 @@
 func (r *Roster) Alive(id, incarnation string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.hosts[id].Incarnation == incarnation
+	host, ok := r.hosts[id]
+	return ok && host.Incarnation == incarnation
 }
 
 // Apply takes over what the mirror of LivePrefix says of hosts.
--- /dev/null
+++ b/internal/rollout/batch/store_test.go
@@ -0,0 +1,230 @@
+package batch_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/nutmegway/nutmegway/internal/base/kind"
+	"github.com/nutmegway/nutmegway/internal/rollout/batch"
+	"github.com/nutmegway/nutmegway/internal/standin/kvmemory"
+)
+
+var (
+	ownerA = batch.Owner{Host: "a", Incarnation: "1"}
+	ownerB = batch.Owner{Host: "b", Incarnation: "1"}
+)
+
+func sample(id string, items int) batch.Batch {
+	b := batch.Batch{Host: "example", ID: id, Model: "m", Target: "/r/" + id, TargetGroups: 1}
+	for n := range items {
+		b.Items = append(b.Items, batch.Item{Body: []byte{byte(n)}, Group: "g", ID: fmt.Sprintf("i%d", n)})
+	}
+	return b
+}
+
+func results(first, n int) []batch.Result {
+	var list []batch.Result
+	for i := range n {
+		list = append(list, batch.Result{Item: fmt.Sprintf("i%d", first+i), State: batch.StateCompleted, Text: "text"})
+	}
+	return list
+}
+
+func TestAcceptOnce(t *testing.T) {
+	cases := map[string]struct {
+		faults      []kvmemory.Fault
+		wantCreated bool
+		wantKind    kind.Kind
+	}{
+		"plain":                           {wantCreated: true},
+		"answer lost":                     {faults: []kvmemory.Fault{kvmemory.FaultLost}, wantCreated: true},
+		"refused, then taken":             {faults: []kvmemory.Fault{kvmemory.FaultRefused}, wantCreated: true},
+		"held back, then written by us":   {faults: []kvmemory.Fault{kvmemory.FaultLate}, wantCreated: true},
+		"refused all the time":            {faults: repeat(kvmemory.FaultRefused, 200), wantKind: kind.StoreUnavailable},
+		"one unknown among many refusals": {faults: append(repeat(kvmemory.FaultLate, 1), repeat(kvmemory.FaultRefused, 200)...), wantKind: kind.StoreWriteUnknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			kvStore := &kvmemory.Store{OnCall: script(c.faults)}
+			store := &batch.Store{KV: kvStore}
+			head, created, err := store.Accept(t.Context(), sample("x", 3), ownerA)
+			if c.wantKind != "" {
+				is.True(kind.Is(err, c.wantKind))
+				return
+			}
+			is.NoErr(err)
+			is.Equal(created, c.wantCreated)
+			is.Equal(head.Owner, ownerA)
+			kvStore.Late()
+			again, created, err := store.Accept(t.Context(), sample("x", 3), ownerB)
+			is.NoErr(err)
+			is.True(!created)
+			is.Equal(again.Owner, ownerA)
+			loaded, err := store.Load(t.Context(), "x")
+			is.NoErr(err)
+			is.Equal(loaded, sample("x", 3))
+		})
+	}
+}
+
+func TestAppendIsFenced(t *testing.T) {
+	is := is.New(t)
+	store := &batch.Store{KV: &kvmemory.Store{}}
+	head, _, err := store.Accept(t.Context(), sample("x", 4), ownerA)
+	is.NoErr(err)
+	head, err = store.Append(t.Context(), head, 0, results(0, 2), false)
+	is.NoErr(err)
+	_, err = store.Claim(t.Context(), head, ownerB)
+	is.NoErr(err)
+	stored, err := store.Append(t.Context(), head, 2, results(2, 1), false)
+	is.True(kind.Is(err, kind.Conflict)) // the earlier owner lists nothing more
+	is.Equal(stored.Owner, ownerB)
+	_, err = store.Claim(t.Context(), head, ownerA)
+	is.True(kind.Is(err, kind.Conflict)) // a claim on an old head fails
+}
+
+func TestAppendAgainAfterLostAnswer(t *testing.T) {
+	is := is.New(t)
+	faults := []kvmemory.Fault{kvmemory.FaultNone, kvmemory.FaultLost}
+	store := &batch.Store{KV: &kvmemory.Store{OnCall: script(faults)}}
+	head, _, err := store.Accept(t.Context(), sample("x", 2), ownerA)
+	is.NoErr(err)
+	_, err = store.Append(t.Context(), head, 0, results(0, 2), true)
+	is.True(kind.Is(err, kind.StoreWriteUnknown))
+	head, err = store.Append(t.Context(), head, 0, results(0, 2), true)
+	is.NoErr(err)
+	is.True(head.Done)
+	listed, _, err := store.Results(t.Context(), "x", 0)
+	is.NoErr(err)
+	is.Equal(len(listed), 2)
+}
+
+func TestEndStopsAppends(t *testing.T) {
+	is := is.New(t)
+	store := &batch.Store{KV: &kvmemory.Store{}}
+	head, _, err := store.Accept(t.Context(), sample("x", 2), ownerA)
+	is.NoErr(err)
+	ended, err := store.End(t.Context(), "x")
+	is.NoErr(err)
+	is.True(ended.Ended)
+	_, err = store.End(t.Context(), "x")
+	is.NoErr(err) // ending again is a success
+	_, err = store.Append(t.Context(), head, 0, results(0, 1), false)
+	is.True(kind.Is(err, kind.Conflict))
+	_, err = store.End(t.Context(), "y")
+	is.True(kind.Is(err, kind.NotFound))
+}
+
+func TestPartialsComeBack(t *testing.T) {
+	is := is.New(t)
+	store := &batch.Store{KV: &kvmemory.Store{}}
+	long := strings.Repeat("x", 400<<10)
+	saved := []batch.Partial{
+		{Events: []string{"a", "b"}, Item: "i0", LastEvent: "2", Versions: []int64{3}},
+		{Events: []string{long}, Item: "i1", LastEvent: "1", Versions: []int64{3}},
+		{Events: []string{long}, Item: "i2", LastEvent: "1", Versions: []int64{3, 4}},
+	}
+	is.NoErr(store.SavePartials(t.Context(), "x", saved))
+	loaded, err := store.Partials(t.Context(), "x")
+	is.NoErr(err)
+	is.Equal(loaded, saved)
+}
+
+// TestPositionsStay lists results in pieces of any size under lost and late
+// answers, and reads them from any position.
+func TestPositionsStay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.IntRange(1, 120).Draw(t, "total")
+		kvStore := &kvmemory.Store{}
+		store := &batch.Store{KV: kvStore}
+		head, _, err := store.Accept(context.Background(), sample("x", total), ownerA)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for listed := 0; listed < total; {
+			n := rapid.IntRange(1, total-listed).Draw(t, "n")
+			n = batch.AppendLimit(results(listed, n))
+			fault := rapid.SampledFrom([]kvmemory.Fault{
+				kvmemory.FaultNone, kvmemory.FaultRefused, kvmemory.FaultLost, kvmemory.FaultLate,
+			}).Draw(t, "fault")
+			kvStore.OnCall = script([]kvmemory.Fault{fault})
+			for {
+				stored, err := store.Append(context.Background(), head, listed, results(listed, n), listed+n == total)
+				if err == nil {
+					head = stored
+					break
+				}
+				if kind.Is(err, kind.Conflict) {
+					t.Fatal(err)
+				}
+			}
+			kvStore.Late()
+			listed += n
+		}
+		after := rapid.IntRange(0, total).Draw(t, "after")
+		read, _, err := store.Results(context.Background(), "x", after)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(read) != total-after {
+			t.Fatalf("%d results from position %d of %d", len(read), after, total)
+		}
+		for i, r := range read {
+			if r.Item != fmt.Sprintf("i%d", after+i) {
+				t.Fatalf("position %d holds %s", after+i, r.Item)
+			}
+		}
+	})
+}
+
+func TestAwaitTellsLaterResults(t *testing.T) {
+	is := is.New(t)
+	store := &batch.Store{KV: &kvmemory.Store{}}
+	head, _, err := store.Accept(t.Context(), sample("x", 5), ownerA)
+	is.NoErr(err)
+	head, err = store.Append(t.Context(), head, 0, results(0, 2), false)
+	is.NoErr(err)
+	_, revision, err := store.Results(t.Context(), "x", 2)
+	is.NoErr(err)
+	_, err = store.Append(t.Context(), head, 2, results(2, 3), true)
+	is.NoErr(err)
+	later, err := store.Await(t.Context(), "x", 2, revision)
+	is.NoErr(err)
+	is.Equal(later, results(2, 3))
+}
+
+func TestCheckID(t *testing.T) {
+	for id, ok := range map[string]bool{
+		"7c41e09b52d6a3f8": true, "": false, "a/b": false, "a b": false, strings.Repeat("x", 200): false,
+	} {
+		if err := batch.CheckID(id); (err == nil) != ok {
+			t.Errorf("CheckID(%q) = %v", id, err)
+		}
+	}
+}
+
+// script returns the faults in turn for commits, and none after them.
+func script(faults []kvmemory.Fault) func(string) kvmemory.Fault {
+	return func(method string) kvmemory.Fault {
+		if method != "commit" || len(faults) == 0 {
+			return kvmemory.FaultNone
+		}
+		fault := faults[0]
+		faults = faults[1:]
+		return fault
+	}
+}
+
+func repeat(fault kvmemory.Fault, n int) []kvmemory.Fault {
+	faults := make([]kvmemory.Fault, n)
+	for i := range faults {
+		faults[i] = fault
+	}
+	return faults
+}
--- /dev/null
+++ b/internal/rollout/batchrun/batchrun_test.go
@@ -0,0 +1,367 @@
+package batchrun_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegway/nutmegway/internal/backend/dialect"
+	"github.com/nutmegway/nutmegway/internal/backend/generation"
+	"github.com/nutmegway/nutmegway/internal/backend/inventory"
+	"github.com/nutmegway/nutmegway/internal/backend/plain"
+	"github.com/nutmegway/nutmegway/internal/fleet/config"
+	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
+	"github.com/nutmegway/nutmegway/internal/fleet/roster"
+	"github.com/nutmegway/nutmegway/internal/rollout/batch"
+	"github.com/nutmegway/nutmegway/internal/rollout/batchrun"
+	"github.com/nutmegway/nutmegway/internal/standin/kvmemory"
+)
+
+var headers = dialect.Dialect{
+	BudgetMillis: "Budget", ExpectServer: "Expect-Server", Load: "Load", NotRun: "Not-Run",
+	ResumeAfter: "Resume-After", WeightVersion: "Weight-Version",
+}
+
+// engineServer streams events of an item, numbered from 1 on.
+type engineServer struct {
+	*httptest.Server
+
+	// handle may answer a request itself.
+	handle func(w http.ResponseWriter, r *http.Request) bool
+
+	mu   sync.Mutex
+	seen []string
+}
+
+const eventsPerItem = 6
+
+func newEngine(t *testing.T) *engineServer {
+	t.Helper()
+	e := &engineServer{}
+	e.Server = httptest.NewServer(e)
+	t.Cleanup(e.Close)
+	return e
+}
+
+func (e *engineServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	item := r.Header.Get("X-Request-Id")
+	e.mu.Lock()
+	e.seen = append(e.seen, item+"@"+r.Header.Get("Resume-After"))
+	handle := e.handle
+	e.mu.Unlock()
+	if handle != nil && handle(w, r) {
+		return
+	}
+	e.stream(w, r, eventsPerItem)
+}
+
+// stream writes the events up to and including the one numbered last.
+func (e *engineServer) stream(w http.ResponseWriter, r *http.Request, last int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	w.Header().Set("Weight-Version", "1")
+	from, _ := strconv.Atoi(r.Header.Get("Resume-After"))
+	for n := from + 1; n <= last; n++ {
+		fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", n, r.Header.Get("X-Request-Id"), n)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+func (e *engineServer) requests() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.seen...)
+}
+
+// host is one host with its service, without listeners.
+type host struct {
+	inventory *inventory.Inventory
+	service   *batchrun.Service
+	stop      func()
+}
+
+func newHost(t *testing.T, id string, store *kvmemory.Store, engines ...*engineServer) *host {
+	t.Helper()
+	logger := slog.New(slog.DiscardHandler)
+	inv := &inventory.Inventory{}
+	for n, e := range engines {
+		inv.Set(inventory.Server{
+			Address: strings.TrimPrefix(e.URL, "http://"), ID: fmt.Sprintf("e%d", n), Service: "s", Slots: 4,
+			Versions: map[string]int64{"m": 1},
+		})
+	}
+	c := &config.Config{Routes: []config.Route{{
+		Host: "example", ItemLimit: time.Hour, MaxAttempts: 3, Prefix: "/r/", Repeat: config.RepeatBatch,
+		Targets: []config.Target{{Service: "s", Weight: 1}},
+	}}}
+	batches := &batch.Store{KV: store, Logger: logger}
+	runner := &batchrun.Runner{
+		Batches: batches, Config: func() *config.Config { return c }, Inventory: inv, Logger: logger,
+		Generation: &generation.Client{Dialect: headers, Logger: logger, Plain: &plain.Client{}},
+		Self:       batch.Owner{Host: id, Incarnation: "1"},
+	}
+	index := &batch.Index{Logger: logger, OnHead: runner.Observe}
+	runner.OnHead = index.Put
+	r := &roster.Roster{Logger: logger, Self: roster.Host{Address: id, ID: id, Incarnation: "1"}, Store: store}
+	service := &batchrun.Service{Batches: batches, Index: index, Logger: logger, Roster: r, Runner: runner}
+	ctx, cancel := context.WithCancel(context.Background())
+	group, groupCtx := errgroup.WithContext(ctx)
+	runner.Start(group)
+	live := &mirror.Mirror{Logger: logger, Prefix: mirror.LivePrefix, Store: store, OnChange: func(c mirror.Change) {
+		r.Apply(c)
+		index.Apply(c)
+	}}
+	for _, run := range []func(context.Context) error{live.Run, r.Run, runner.Run, service.Run} {
+		group.Go(func() error { return run(groupCtx) })
+	}
+	var once sync.Once
+	h := &host{inventory: inv, service: service, stop: func() {
+		once.Do(func() {
+			r.Leave()
+			runner.Drain(context.Background())
+			cancel()
+			_ = group.Wait()
+		})
+	}}
+	t.Cleanup(h.stop)
+	return h
+}
+
+func sample(id string, items int) batch.Batch {
+	b := batch.Batch{Host: "example", ID: id, MinVersion: 1, Model: "m", Target: "/r/" + id, TargetGroups: 1}
+	for n := range items {
+		b.Items = append(b.Items, batch.Item{
+			Body: []byte("body"), Group: "g", ID: fmt.Sprintf("%s-i%d", id, n), Target: "/r/item",
+		})
+	}
+	return b
+}
+
+// readAll reads a batch until all its results are there.
+func readAll(t *testing.T, s *batchrun.Service, id string) []batch.Result {
+	t.Helper()
+	var all []batch.Result
+	for {
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		page, err := s.Read(ctx, id, len(all))
+		cancel()
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, page.Results...)
+		if len(all) == page.Total {
+			return all
+		}
+	}
+}
+
+func text(item string) string {
+	var events []string
+	for n := range eventsPerItem {
+		events = append(events, fmt.Sprintf("%s-%d", item, n+1))
+	}
+	return strings.Join(events, "\n")
+}
+
+func checkWhole(t *testing.T, results []batch.Result, items int) {
+	t.Helper()
+	seen := make(map[string]bool)
+	for _, r := range results {
+		if seen[r.Item] || r.State != batch.StateCompleted || r.Text != text(r.Item) {
+			t.Errorf("item %s: state %s, text %q, seen before %v", r.Item, r.State, r.Text, seen[r.Item])
+		}
+		seen[r.Item] = true
+	}
+	if len(seen) != items {
+		t.Errorf("%d items of %d", len(seen), items)
+	}
+}
+
+func TestBatchCompletesAndIsReadAnywhere(t *testing.T) {
+	is := is.New(t)
+	store := &kvmemory.Store{}
+	engine := newEngine(t)
+	a, b := newHost(t, "a", store, engine), newHost(t, "b", store, engine)
+	is.NoErr(a.service.Submit(t.Context(), sample("x", 20)))
+	is.NoErr(b.service.Submit(t.Context(), sample("x", 20))) // sent again to another host
+	onA, onB := readAll(t, a.service, "x"), readAll(t, b.service, "x")
+	checkWhole(t, onA, 20)
+	is.Equal(onA, onB)
+	is.Equal(len(engine.requests()), 20) // each item ran once
+}
+
+func TestItemGoesOnElsewhereAfterABreak(t *testing.T) {
+	cases := map[string]func(e *engineServer, w http.ResponseWriter, r *http.Request){
+		"reset within an event": func(e *engineServer, w http.ResponseWriter, r *http.Request) {
+			e.stream(w, r, 3)
+			fmt.Fprint(w, "id: 4\ndata: x-i")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		},
+		"clean end within an event": func(e *engineServer, w http.ResponseWriter, r *http.Request) {
+			e.stream(w, r, 3)
+			fmt.Fprint(w, "id: 4\ndata: x-i")
+		},
+		"an answer to another request": func(_ *engineServer, w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Request-Id", "another")
+			fmt.Fprint(w, "id: 1\ndata: another\n\n")
+		},
+		"a refusal": func(_ *engineServer, w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+		"a failed run": func(_ *engineServer, w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusInternalServerError)
+		},
+	}
+	for name, fail := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			broken, sound := newEngine(t), newEngine(t)
+			failed := false
+			broken.handle = func(w http.ResponseWriter, r *http.Request) bool {
+				broken.mu.Lock()
+				first := !failed
+				failed = true
+				broken.mu.Unlock()
+				if first {
+					fail(broken, w, r)
+				}
+				return first
+			}
+			h := newHost(t, "a", &kvmemory.Store{}, broken, sound)
+			is.NoErr(h.service.Submit(t.Context(), sample("x", 4)))
+			checkWhole(t, readAll(t, h.service, "x"), 4)
+		})
+	}
+}
+
+func TestItemDiesOnlyAfterItsAttempts(t *testing.T) {
+	is := is.New(t)
+	engine := newEngine(t)
+	engine.handle = func(w http.ResponseWriter, r *http.Request) bool {
+		status := http.StatusInternalServerError
+		if r.Header.Get("X-Request-Id") == "x-i1" {
+			status = http.StatusUnprocessableEntity
+		}
+		w.WriteHeader(status)
+		return true
+	}
+	h := newHost(t, "a", &kvmemory.Store{}, engine)
+	is.NoErr(h.service.Submit(t.Context(), sample("x", 2)))
+	for _, r := range readAll(t, h.service, "x") {
+		is.Equal(r.State, batch.StateDead)
+	}
+	runs := strings.Join(engine.requests(), " ")
+	is.Equal(strings.Count(runs, "x-i0@"), 3) // as often as the route allows
+	is.Equal(strings.Count(runs, "x-i1@"), 1) // it can never be done
+}
+
+func TestLeavingHostHandsItsTextOver(t *testing.T) {
+	is := is.New(t)
+	store := &kvmemory.Store{}
+	engine := newEngine(t)
+	reached := make(chan struct{})
+	var once sync.Once
+	engine.handle = func(w http.ResponseWriter, r *http.Request) bool {
+		if r.Header.Get("Resume-After") != "" {
+			return false
+		}
+		engine.stream(w, r, 3)
+		once.Do(func() { close(reached) })
+		<-r.Context().Done()
+		return true
+	}
+	a, b := newHost(t, "a", store, engine), newHost(t, "b", store, engine)
+	is.NoErr(a.service.Submit(t.Context(), sample("x", 1)))
+	<-reached
+	a.stop()
+	checkWhole(t, readAll(t, b.service, "x"), 1)
+	is.Equal(engine.requests(), []string{"x-i0@", "x-i0@3"})
+}
+
+// TestReaderOfAHandedOverBatch is the load that kept a host busy without end: a
+// reader waits at a host that is leaving while the store can't be reached.
+func TestReaderOfAHandedOverBatch(t *testing.T) {
+	is := is.New(t)
+	store := &kvmemory.Store{}
+	engine := newEngine(t)
+	engine.handle = func(_ http.ResponseWriter, r *http.Request) bool {
+		<-r.Context().Done()
+		return true
+	}
+	a := newHost(t, "a", store, engine)
+	is.NoErr(a.service.Submit(t.Context(), sample("x", 1)))
+	store.OnCall = func(string) kvmemory.Fault { return kvmemory.FaultRefused }
+	read := make(chan error)
+	var group errgroup.Group
+	group.Go(func() error {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		_, err := a.service.Read(ctx, "x", 0)
+		read <- err
+		return nil
+	})
+	a.stop()
+	is.True(<-read != nil) // the store can't tell, so the reader asks again
+	is.NoErr(group.Wait())
+}
+
+// TestEndedBatchIsNotRunAgain is what the first hunt found: a host that was cut
+// off from the store believes that a batch is still its own and open.
+func TestEndedBatchIsNotRunAgain(t *testing.T) {
+	is := is.New(t)
+	store := &kvmemory.Store{}
+	engine := newEngine(t)
+	logger := slog.New(slog.DiscardHandler)
+	batches := &batch.Store{KV: store, Logger: logger}
+	owner := batch.Owner{Host: "a", Incarnation: "1"}
+	head, _, err := batches.Accept(t.Context(), sample("x", 2), owner)
+	is.NoErr(err)
+	_, err = batches.End(t.Context(), "x")
+	is.NoErr(err)
+	inv := &inventory.Inventory{}
+	inv.Set(inventory.Server{
+		Address: strings.TrimPrefix(engine.URL, "http://"), ID: "e", Service: "s", Slots: 4, Versions: map[string]int64{"m": 1},
+	})
+	c := &config.Config{Routes: []config.Route{{
+		Host: "example", MaxAttempts: 1, Prefix: "/r/", Targets: []config.Target{{Service: "s", Weight: 1}},
+	}}}
+	runner := &batchrun.Runner{
+		Batches: batches, Config: func() *config.Config { return c }, Inventory: inv, Logger: logger, Self: owner,
+		Generation: &generation.Client{Dialect: headers, Logger: logger, Plain: &plain.Client{}},
+	}
+	index := &batch.Index{Logger: logger, OnHead: runner.Observe}
+	runner.OnHead = index.Put
+	service := &batchrun.Service{
+		Batches: batches, Index: index, Logger: logger, Runner: runner,
+		Roster: &roster.Roster{Logger: logger, Self: roster.Host{ID: "a", Incarnation: "1"}, Store: store},
+	}
+	index.Put(head) // what the host believes
+	group, ctx := errgroup.WithContext(t.Context())
+	ctx, cancel := context.WithCancel(ctx)
+	runner.Start(group)
+	group.Go(func() error { return service.Run(ctx) })
+	group.Go(func() error { return runner.Run(ctx) })
+	for {
+		if known, _ := index.Get("x"); known.Ended {
+			break // the host has learned better
+		}
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	is.NoErr(group.Wait())
+	is.Equal(len(engine.requests()), 0)
+}
--- a/internal/rollout/loading/giver.go
+++ b/internal/rollout/loading/giver.go
@@ -243,6 +243,8 @@
 		}
 		if p.pending && server.Versions[p.model] >= p.version {
 			p.pending = false
+			// Without an answer it isn't known whether this order brought it there.
+			p.known = p.known && p.accepted
 			g.Logger.Info("engine holds version", slog.String("server", server.ID), slog.String("model", p.model),
 				slog.Int64("version", p.version), slog.Duration("after", now.Sub(p.sent)))
 		}
--- /dev/null
+++ b/internal/rollout/loading/loading_test.go
@@ -0,0 +1,258 @@
+package loading_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/nutmegway/nutmegway/internal/backend/inventory"
+	"github.com/nutmegway/nutmegway/internal/fleet/config"
+	"github.com/nutmegway/nutmegway/internal/rollout/loading"
+)
+
+func engine(id string, version int64) inventory.Server {
+	return inventory.Server{ID: id, Service: "s", Slots: 4, Versions: map[string]int64{"m": version}}
+}
+
+func TestPlan(t *testing.T) {
+	four := func(versions ...int64) []inventory.Server {
+		var servers []inventory.Server
+		for i, v := range versions {
+			servers = append(servers, engine(string(rune('a'+i)), v))
+		}
+		return servers
+	}
+	cases := map[string]struct {
+		servers []inventory.Server
+		named   int64
+		busy    map[string]bool
+		want    []string
+	}{
+		"nothing named":                       {servers: four(1, 1, 1, 1), named: 1},
+		"half of them load a second version":  {servers: four(1, 1, 1, 1), named: 2, want: []string{"a", "c"}},
+		"the other half loads the third":      {servers: four(2, 1, 2, 1), named: 3, want: []string{"b", "d"}},
+		"those that serve nobody come first":  {servers: four(3, 3, 1, 3), named: 4, want: []string{"c", "a"}},
+		"a busy engine gets no second order":  {servers: four(1, 1, 1, 1), named: 2, busy: map[string]bool{"a": true}, want: []string{"c"}},
+		"an engine ahead of the name is left": {servers: four(5, 5, 5, 5), named: 4},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var got []string
+			for _, o := range loading.Plan(c.servers, []string{"m"}, map[string]int64{"m": c.named}, c.busy) {
+				is.Equal(o.Version, c.named)
+				got = append(got, o.Server.ID)
+			}
+			is.Equal(got, c.want)
+		})
+	}
+}
+
+// TestPlanServesEachStep plays versions that are named faster than all engines
+// could load them, and checks that each step finds enough engines and that no
+// more loads are given than one for each second version.
+func TestPlanServesEachStep(t *testing.T) {
+	is := is.New(t)
+	var servers []inventory.Server
+	for i := range 12 {
+		s := engine(string(rune('a'+i)), 1)
+		s.Versions = map[string]int64{"m0": 1, "m1": 1, "m2": 1}
+		servers = append(servers, s)
+	}
+	models := []string{"m0", "m1", "m2"}
+	loads := 0
+	for named := int64(2); named <= 11; named++ {
+		for _, model := range models {
+			allowed := 0
+			for _, s := range servers {
+				if s.Versions[model] >= named-1 {
+					allowed++
+				}
+			}
+			is.True(allowed >= 4) // engines that serve the step before any of them loads
+		}
+		for {
+			orders := loading.Plan(servers, models, map[string]int64{"m0": named, "m1": named, "m2": named}, nil)
+			if len(orders) == 0 {
+				break
+			}
+			for _, o := range orders {
+				o.Server.Versions[o.Model] = o.Version
+				loads++
+			}
+		}
+	}
+	is.True(loads <= 10*len(servers)) // a version has one free load an engine, shared by the models
+}
+
+// engines are model engines in memory.
+type engines struct {
+	mu       sync.Mutex
+	accepted map[string]int64
+	holders  map[string][]orderAt
+	lose     bool
+	inv      *inventory.Inventory
+}
+
+type orderAt struct {
+	holder string
+	fence  int64
+	at     time.Time
+}
+
+func (e *engines) Load(_ context.Context, o loading.Order, a loading.Authority, expected int64) (loading.Verdict, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.holders[o.Server.ID] = append(e.holders[o.Server.ID], orderAt{a.Holder, a.Fence, time.Now()})
+	if e.accepted[o.Server.ID] != expected {
+		return loading.VerdictRefused, nil
+	}
+	e.accepted[o.Server.ID]++
+	server := engine(o.Server.ID, o.Version)
+	time.AfterFunc(900*time.Millisecond, func() { e.inv.Set(server) })
+	if e.lose {
+		return "", errors.New("lost")
+	}
+	return loading.VerdictAccepted, nil
+}
+
+func (e *engines) Status(_ context.Context, s inventory.Server) (loading.Status, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	current, _ := e.inv.Get(s.ID)
+	return loading.Status{Orders: e.accepted[s.ID], Versions: current.Versions}, nil
+}
+
+// fleet is the list of hosts as the store holds it.
+type fleet struct {
+	mu    sync.Mutex
+	hosts []string
+	rev   int64
+	away  map[string]bool
+}
+
+func (f *fleet) set(hosts ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts = hosts
+	f.rev++
+}
+
+func (f *fleet) cut(host string, away bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.away[host] = away
+}
+
+func (f *fleet) read(self string) func(context.Context) (loading.Fleet, error) {
+	return func(context.Context) (loading.Fleet, error) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.away[self] {
+			return loading.Fleet{}, errors.New("cut off")
+		}
+		return loading.Fleet{Hosts: f.hosts, Revision: f.rev}, nil
+	}
+}
+
+const spacing = 3 * time.Second
+
+func giver(self string, f *fleet, e *engines) *loading.Giver {
+	c := &config.Config{Services: map[string]config.Service{"s": {Name: "s", Models: []string{"m"}}}}
+	return &loading.Giver{
+		Config: func() *config.Config { return c }, Engines: e, Fleet: f.read(self), Inventory: e.inv,
+		Logger: slog.New(slog.DiscardHandler), Self: self, Spacing: spacing,
+	}
+}
+
+// TestGiversKeepTheirDistance lets hosts come, go and lose the store while
+// versions are named, and checks that two hosts never order one engine within
+// the spacing, and that fencing numbers grow.
+func TestGiversKeepTheirDistance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := &engines{accepted: map[string]int64{}, holders: map[string][]orderAt{}, inv: &inventory.Inventory{}}
+		for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+			e.inv.Set(engine(id, 1))
+		}
+		f := &fleet{away: map[string]bool{}}
+		f.set("h1", "h2", "h3")
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		var givers []*loading.Giver
+		for _, id := range []string{"h1", "h2", "h3"} {
+			g := giver(id, f, e)
+			g.Observe([]string{"h1", "h2", "h3"})
+			givers = append(givers, g)
+			group.Go(func() { _ = g.Run(ctx) })
+		}
+		for version := int64(2); version < 30; version++ {
+			for _, g := range givers {
+				g.Named("m", version)
+			}
+			time.Sleep(2 * time.Second)
+			switch version {
+			case 8: // h1 is cut off; its entry lapses, the others hear of it
+				f.cut("h1", true)
+				f.set("h2", "h3")
+				givers[1].Observe([]string{"h2", "h3"})
+				givers[2].Observe([]string{"h2", "h3"})
+			case 15:
+				f.cut("h1", false)
+				f.set("h1", "h2", "h3")
+				for _, g := range givers {
+					g.Observe([]string{"h1", "h2", "h3"})
+				}
+			}
+		}
+		cancel()
+		group.Wait()
+		orders := 0
+		for id, list := range e.holders {
+			for i := 1; i < len(list); i++ {
+				orders++
+				if list[i].holder != list[i-1].holder {
+					is.True(list[i].at.Sub(list[i-1].at) >= spacing) // orders of two hosts
+				}
+				if list[i].fence < list[i-1].fence {
+					t.Errorf("engine %s: fencing number %d after %d", id, list[i].fence, list[i-1].fence)
+				}
+			}
+		}
+		is.True(orders > 20)
+	})
+}
+
+// TestLostAnswerIsAskedFor loses the answers of all orders: the engine is asked
+// and the next order has the count that it told.
+func TestLostAnswerIsAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := &engines{
+			accepted: map[string]int64{"a": 7}, holders: map[string][]orderAt{}, inv: &inventory.Inventory{}, lose: true,
+		}
+		e.inv.Set(engine("a", 1))
+		f := &fleet{away: map[string]bool{}}
+		f.set("h1")
+		g := giver("h1", f, e)
+		g.Observe([]string{"h1"})
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { _ = g.Run(ctx) })
+		for version := int64(2); version <= 6; version++ {
+			g.Named("m", version)
+			time.Sleep(6 * time.Second)
+		}
+		cancel()
+		group.Wait()
+		held, _ := e.inv.Get("a")
+		is.True(held.Versions["m"] >= 5)                      // the engine follows the named versions
+		is.Equal(len(e.holders["a"]), int(e.accepted["a"]-7)) // and no order was refused
+	})
+}
