--- a/internal/rollout/batch/store_test.go
+++ b/internal/rollout/batch/store_test.go
@@ -51,7 +51,8 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			kvStore := &kvmemory.Store{OnCall: script(c.faults)}
+			kvStore := &kvmemory.Store{}
+			kvStore.Inject(script(c.faults))
 			store := &batch.Store{KV: kvStore}
 			head, created, err := store.Accept(t.Context(), sample("x", 3), ownerA)
 			if c.wantKind != "" {
@@ -92,7 +93,9 @@
 func TestAppendAgainAfterLostAnswer(t *testing.T) {
 	is := is.New(t)
 	faults := []kvmemory.Fault{kvmemory.FaultNone, kvmemory.FaultLost}
-	store := &batch.Store{KV: &kvmemory.Store{OnCall: script(faults)}}
+	kvStore := &kvmemory.Store{}
+	kvStore.Inject(script(faults))
+	store := &batch.Store{KV: kvStore}
 	head, _, err := store.Accept(t.Context(), sample("x", 2), ownerA)
 	is.NoErr(err)
 	_, err = store.Append(t.Context(), head, 0, results(0, 2), true)
@@ -153,7 +156,7 @@
 			fault := rapid.SampledFrom([]kvmemory.Fault{
 				kvmemory.FaultNone, kvmemory.FaultRefused, kvmemory.FaultLost, kvmemory.FaultLate,
 			}).Draw(t, "fault")
-			kvStore.OnCall = script([]kvmemory.Fault{fault})
+			kvStore.Inject(script([]kvmemory.Fault{fault}))
 			for {
 				stored, err := store.Append(context.Background(), head, listed, results(listed, n), listed+n == total)
 				if err == nil {
--- a/internal/rollout/batchrun/batchrun_test.go
+++ b/internal/rollout/batchrun/batchrun_test.go
@@ -304,7 +304,7 @@
 	}
 	a := newHost(t, "a", store, engine)
 	is.NoErr(a.service.Submit(t.Context(), sample("x", 1)))
-	store.OnCall = func(string) kvmemory.Fault { return kvmemory.FaultRefused }
+	store.Inject(func(string) kvmemory.Fault { return kvmemory.FaultRefused })
 	read := make(chan error)
 	var group errgroup.Group
 	group.Go(func() error {
--- a/internal/standin/kvmemory/kvmemory.go
+++ b/internal/standin/kvmemory/kvmemory.go
@@ -30,10 +30,9 @@
 
 // Store is the service. The zero value is ready.
 type Store struct {
-	// OnCall decides on the fault of each call by its method; nil means none.
-	OnCall func(method string) Fault
-
-	mu       sync.Mutex
+	mu sync.Mutex
+	// onCall decides on the fault of each call by its method.
+	onCall   func(method string) Fault
 	changed  chan struct{}
 	entries  map[string]kv.Entry
 	events   []kv.Event
@@ -51,11 +50,26 @@
 
 var _ kv.RangeStore = (*Store)(nil)
 
-func (s *Store) fault(method string) error {
-	if s.OnCall == nil {
-		return nil
+// Inject lets onCall decide on the fault of each call by its method; nil ends
+// all faults.
+func (s *Store) Inject(onCall func(method string) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onCall = onCall
+}
+
+func (s *Store) decide(method string) Fault {
+	s.mu.Lock()
+	onCall := s.onCall
+	s.mu.Unlock()
+	if onCall == nil {
+		return FaultNone
 	}
-	switch s.OnCall(method) {
+	return onCall(method)
+}
+
+func (s *Store) fault(method string) error {
+	switch s.decide(method) {
 	case FaultRefused:
 		return kind.New(kind.StoreUnavailable, "refused")
 	case FaultLost, FaultLate:
@@ -67,10 +81,7 @@
 
 // Commit implements kv.Store.
 func (s *Store) Commit(_ context.Context, txn kv.Txn) (kv.TxnResult, error) {
-	var fault Fault
-	if s.OnCall != nil {
-		fault = s.OnCall("commit")
-	}
+	fault := s.decide("commit")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch fault {
