Run the batches of a model on one host, and read them there over a link

Change: the first host by rendezvous for the model is the owner; the accepting host stores the batch in its name and hands it over by gRPC, and takes it back if the owner doesn't answer in 300 ms. Readers on other hosts ask the owner first.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -23,6 +23,7 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/roster"
 	"github.com/nutmegway/nutmegway/internal/request/forward"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
+	"github.com/nutmegway/nutmegway/internal/rollout/batchlink"
 	"github.com/nutmegway/nutmegway/internal/rollout/batchrun"
 	"github.com/nutmegway/nutmegway/internal/rollout/loading"
 )
@@ -91,6 +92,7 @@
 	giver     *loading.Giver
 	inventory *inventory.Inventory
 	leaving   atomic.Bool
+	link      *batchlink.Client
 	live      *mirror.Mirror
 	retired   retirements
 	roster    *roster.Roster
@@ -110,7 +112,8 @@
 	h.roster = &roster.Roster{
 		Logger: h.Logger, Store: h.Store,
 		Self: roster.Host{
-			Address: h.Settings.CallerAddress, ID: h.Settings.ID, Incarnation: incarnation, Zone: h.Settings.Zone,
+			Address: h.Settings.CallerAddress, ID: h.Settings.ID, Incarnation: incarnation,
+			Peer: h.Settings.PeerAddress, Zone: h.Settings.Zone,
 		},
 	}
 	batches := &batch.Store{KV: h.Store, Logger: h.Logger}
@@ -123,6 +126,10 @@
 		Batches: batches, Index: &batch.Index{Logger: h.Logger, OnHead: h.runner.Observe},
 		Logger: h.Logger, Roster: h.roster, Runner: h.runner,
 	}
+	if h.Settings.PeerAddress != "" {
+		h.link = batchlink.NewClient()
+		h.Batches.Link = h.link
+	}
 	h.runner.OnHead = h.Batches.Index.Put
 	h.giver = &loading.Giver{
 		Config: h.config.Load, Engines: h.Engines, Fleet: h.fleet, Inventory: h.inventory, Logger: h.Logger,
@@ -159,6 +166,11 @@
 	for _, m := range mirrors {
 		group.Go(func() error { return m.Run(groupCtx) })
 	}
+	if h.link != nil {
+		defer func() { _ = h.link.Close() }()
+		server := &batchlink.Server{Address: h.Settings.PeerAddress, Owner: h.Batches}
+		group.Go(func() error { return server.Run(groupCtx) })
+	}
 	group.Go(func() error { return h.roster.Run(groupCtx) })
 	group.Go(func() error { return h.runner.Run(groupCtx) })
 	group.Go(func() error { return h.Batches.Run(duties) })
--- a/internal/entry/host/settings.go
+++ b/internal/entry/host/settings.go
@@ -33,6 +33,9 @@
 	MaxAddressTTL time.Duration
 	// OrderSpacing is the least time between orders of two hosts to one engine.
 	OrderSpacing time.Duration
+	// PeerAddress is where other hosts connect; empty leaves the store as the
+	// only way between hosts.
+	PeerAddress string
 	// ReadyAddress is where the platform asks whether the host is ready.
 	ReadyAddress string
 	// ResultRetention is how long results are kept after a submission.
@@ -51,7 +54,7 @@
 		mistakes = append(mistakes, classError.New("a duration is negative"))
 	}
 	addresses := map[string]string{
-		"callers": s.CallerAddress, "directory": s.DirectoryAddress, "ready": s.ReadyAddress,
+		"callers": s.CallerAddress, "directory": s.DirectoryAddress, "peers": s.PeerAddress, "ready": s.ReadyAddress,
 	}
 	for name, address := range addresses {
 		if err := checkAddress(address); address != "" && err != nil {
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -37,8 +37,10 @@
 	// Incarnation is different at each start of the process.
 	Incarnation string `json:"incarnation"`
 	// Leaving hosts finish what they have.
-	Leaving bool   `json:"leaving"`
-	Zone    string `json:"zone"`
+	Leaving bool `json:"leaving"`
+	// Peer is where other hosts connect; empty if they don't.
+	Peer string `json:"peer"`
+	Zone string `json:"zone"`
 }
 
 // Roster registers this host and knows the others. The fields are set before
@@ -148,11 +150,17 @@
 	return ids
 }
 
-// Alive reports whether the incarnation is listed, leaving or not.
-func (r *Roster) Alive(id, incarnation string) bool {
+// Get returns a listed host, leaving or not.
+func (r *Roster) Get(id string) (Host, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	host, ok := r.hosts[id]
+	return host, ok
+}
+
+// Alive reports whether the incarnation is listed, leaving or not.
+func (r *Roster) Alive(id, incarnation string) bool {
+	host, ok := r.Get(id)
 	return ok && host.Incarnation == incarnation
 }
 
--- /dev/null
+++ b/internal/rollout/batchlink/batchlink.go
@@ -0,0 +1,184 @@
+// Package batchlink carries batches and their readers between hosts: a host
+// that accepted a batch hands it to its owner, and readers on any host see the
+// results in the owner's memory. The store stays the way that always works.
+package batchlink
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+
+	"github.com/nutmegway/nutmegway/internal/fleet/peer"
+	"github.com/nutmegway/nutmegway/internal/rollout/batch"
+	"github.com/nutmegway/nutmegway/internal/rollout/batchlink/batchlinkpb"
+)
+
+var classError = errs.Class("batchlink")
+
+const (
+	// adoptTimeout bounds a handover. A batch has some tens of kilobytes, and a
+	// host that doesn't answer in this time is taken for gone.
+	adoptTimeout = 300 * time.Millisecond
+	// readMargin is added to the wait of a reader.
+	readMargin = 300 * time.Millisecond
+	// maxMessageBytes holds a page of results or a batch.
+	maxMessageBytes = 32 << 20
+	// probeInterval and probeCount let the kernel find a silent connection.
+	probeInterval = time.Second
+	probeCount    = 2
+)
+
+// Owner is what the owner of batches does for other hosts.
+type Owner interface {
+	// Adopt runs a batch that is stored with this host as its owner. It returns
+	// false if the host takes none.
+	Adopt(ctx context.Context, head batch.Head, b batch.Batch) bool
+	// Page returns listed results, waiting for one until ctx ends; false if this
+	// host doesn't run the batch.
+	Page(ctx context.Context, id string, after int) (batch.Page, bool)
+}
+
+// Server answers other hosts. The fields are set before Run.
+type Server struct {
+	Address string
+	Owner   Owner
+}
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Address)
+	if err != nil {
+		return classError.Wrap(err)
+	}
+	server := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes))
+	batchlinkpb.RegisterBatchLinkServer(server, handler{owner: s.Owner})
+	var group errgroup.Group
+	group.Go(func() error {
+		<-ctx.Done()
+		server.Stop()
+		return nil
+	})
+	if err := server.Serve(listener); err != nil && !errors.Is(err, grpc.ErrServerStopped) && ctx.Err() == nil {
+		return classError.Wrap(err)
+	}
+	return group.Wait()
+}
+
+type handler struct {
+	batchlinkpb.UnimplementedBatchLinkServer
+
+	owner Owner
+}
+
+var _ batchlinkpb.BatchLinkServer = handler{}
+
+// Adopt implements batchlinkpb.BatchLinkServer.
+func (h handler) Adopt(ctx context.Context, r *batchlinkpb.AdoptRequest) (*batchlinkpb.AdoptReply, error) {
+	var head batch.Head
+	var b batch.Batch
+	if err := errors.Join(json.Unmarshal(r.GetHead(), &head), json.Unmarshal(r.GetBatch(), &b)); err != nil {
+		return nil, classError.Wrap(err)
+	}
+	head.Revision = r.GetHeadRevision()
+	return &batchlinkpb.AdoptReply{Running: h.owner.Adopt(ctx, head, b)}, nil
+}
+
+// Read implements batchlinkpb.BatchLinkServer.
+func (h handler) Read(ctx context.Context, r *batchlinkpb.ReadRequest) (*batchlinkpb.ReadReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.GetWaitMillis())*time.Millisecond)
+	defer cancel()
+	page, ok := h.owner.Page(ctx, r.GetBatch(), int(r.GetAfter()))
+	if !ok {
+		return &batchlinkpb.ReadReply{}, nil
+	}
+	reply := &batchlinkpb.ReadReply{Known: true, Next: int64(page.Next), Total: int64(page.Total)}
+	for _, result := range page.Results {
+		reply.Results = append(reply.Results, &batchlinkpb.Result{
+			Item: result.Item, State: string(result.State), Text: result.Text, Versions: result.Versions,
+		})
+	}
+	return reply, nil
+}
+
+// Client asks other hosts. Use NewClient.
+type Client struct {
+	pool *peer.Pool
+}
+
+// NewClient returns a client without connections.
+func NewClient() *Client {
+	dialer := &net.Dialer{Timeout: adoptTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount,
+	}}
+	return &Client{pool: &peer.Pool{Options: []grpc.DialOption{
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
+	}}}
+}
+
+// Close closes the connections.
+func (c *Client) Close() error { return c.pool.Close() }
+
+// Adopt hands a stored batch to its owner at address and reports whether the
+// owner runs it now.
+func (c *Client) Adopt(ctx context.Context, address string, head batch.Head, b batch.Batch) (bool, error) {
+	encodedHead, err := json.Marshal(head)
+	if err != nil {
+		return false, classError.Wrap(err)
+	}
+	encodedBatch, err := json.Marshal(b)
+	if err != nil {
+		return false, classError.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
+	defer cancel()
+	reply, err := call(c, address, func(link batchlinkpb.BatchLinkClient) (*batchlinkpb.AdoptReply, error) {
+		return link.Adopt(ctx, &batchlinkpb.AdoptRequest{
+			Batch: encodedBatch, Head: encodedHead, HeadRevision: head.Revision,
+		})
+	})
+	return reply.GetRunning(), err
+}
+
+// Read reads results at the owner. It returns false if the owner doesn't run
+// the batch any more.
+func (c *Client) Read(ctx context.Context, address, id string, after int, wait time.Duration) (batch.Page, bool, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), wait+readMargin)
+	defer cancel()
+	reply, err := call(c, address, func(link batchlinkpb.BatchLinkClient) (*batchlinkpb.ReadReply, error) {
+		return link.Read(ctx, &batchlinkpb.ReadRequest{After: int64(after), Batch: id, WaitMillis: wait.Milliseconds()})
+	})
+	if err != nil || !reply.GetKnown() {
+		return batch.Page{}, false, err
+	}
+	page := batch.Page{Next: int(reply.GetNext()), Total: int(reply.GetTotal())}
+	for _, r := range reply.GetResults() {
+		page.Results = append(page.Results, batch.Result{
+			Item: r.GetItem(), State: batch.State(r.GetState()), Text: r.GetText(), Versions: r.GetVersions(),
+		})
+	}
+	return page, true, nil
+}
+
+// call makes one call. A connection on which it failed is closed, since it may
+// be silent for good.
+func call[T any](c *Client, address string, do func(batchlinkpb.BatchLinkClient) (T, error)) (T, error) {
+	conn, err := c.pool.Conn(address)
+	if err != nil {
+		var none T
+		return none, classError.Wrap(err)
+	}
+	reply, err := do(batchlinkpb.NewBatchLinkClient(conn))
+	if err != nil {
+		c.pool.Forget(address)
+	}
+	return reply, classError.Wrap(err)
+}
--- a/internal/rollout/batchrun/list.go
+++ b/internal/rollout/batchrun/list.go
@@ -104,9 +104,7 @@
 			return x.wasListed(stored, results)
 		}
 		if kind.Is(err, kind.Conflict) {
-			r.OnHead(stored)
-			r.Observe(stored)
-			return false
+			return x.wasRefused(head, stored)
 		}
 		if !mirror.IsLost(err) {
 			r.Logger.LogAttrs(ctx, slog.LevelError, "results not listed", slog.String("batch", head.ID), slog.Any("error", err))
@@ -121,6 +119,29 @@
 	}
 }
 
+// wasRefused takes over the head that refused a write, and reports whether the
+// write is worth repeating.
+func (x *run) wasRefused(sent, stored batch.Head) bool {
+	r := x.runner
+	r.OnHead(stored)
+	if stored.Owner != r.Self || !stored.IsOpen() {
+		r.Observe(stored)
+		return false
+	}
+	if stored.Revision != sent.Revision {
+		// This process claimed the batch once more while the write was under way.
+		r.mu.Lock()
+		x.head = stored
+		r.mu.Unlock()
+		return true
+	}
+	// A position holds another result than this run's. The sweep begins anew
+	// with what the store holds.
+	r.Logger.Error("results do not fit those listed", slog.String("batch", sent.ID), slog.Int64("revision", sent.Revision))
+	r.stop(x, stored)
+	return false
+}
+
 // wasListed takes over results that are stored now.
 func (x *run) wasListed(stored batch.Head, results []batch.Result) bool {
 	r := x.runner
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -65,6 +65,9 @@
 	r.wake = make(chan struct{}, 1)
 }
 
+// Go runs a function in the runner's group.
+func (r *Runner) Go(f func() error) { r.group.Go(f) }
+
 // Run places items until ctx ends.
 func (r *Runner) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
--- a/internal/rollout/batchrun/service.go
+++ b/internal/rollout/batchrun/service.go
@@ -17,20 +17,33 @@
 const (
 	// sweepInterval is how often batches without a live owner are looked for.
 	sweepInterval = 300 * time.Millisecond
+	// ownDelay is how long a host waits for the handover of a batch that was
+	// stored in its name before it reads the batch from the store.
+	ownDelay = 600 * time.Millisecond
 	// orphanDelay is how long an owner must be missing from the list of hosts
 	// before another one takes its batches. A host whose entry lapsed while it
 	// lives writes it again within this time.
 	orphanDelay = 900 * time.Millisecond
 )
 
+// Link reaches the owners of batches on other hosts.
+type Link interface {
+	// Adopt hands a stored batch to its owner and reports whether it runs there.
+	Adopt(ctx context.Context, address string, head batch.Head, b batch.Batch) (bool, error)
+	// Read reads results at the owner; false if it doesn't run the batch.
+	Read(ctx context.Context, address, id string, after int, wait time.Duration) (batch.Page, bool, error)
+}
+
 // Service is what trainers ask of batches, on any host. The fields are set
 // before Run.
 type Service struct {
 	Batches *batch.Store
 	Index   *batch.Index
-	Logger  *slog.Logger
-	Roster  *roster.Roster
-	Runner  *Runner
+	// Link reaches other hosts; nil leaves the store as the only way.
+	Link   Link
+	Logger *slog.Logger
+	Roster *roster.Roster
+	Runner *Runner
 
 	mu sync.Mutex
 	// orphaned holds since when the owner of an open batch is missing.
@@ -43,19 +56,73 @@
 	if _, ok := s.Index.Get(b.ID); ok {
 		return nil
 	}
-	head, created, err := s.Batches.Accept(ctx, b, s.Runner.Self)
+	owner := s.ownerOf(b.Model)
+	head, created, err := s.Batches.Accept(ctx, b, batch.Owner{Host: owner.ID, Incarnation: owner.Incarnation})
 	if err != nil {
 		s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch not accepted", slog.String("batch", b.ID), slog.Any("error", err))
 		return err
 	}
 	s.Index.Put(head)
-	s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch accepted", slog.String("batch", b.ID), slog.Bool("created", created))
-	if created {
+	s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch accepted", slog.String("batch", b.ID), slog.Bool("created", created),
+		slog.String("owner", head.Owner.Host), slog.Int64("revision", head.Revision))
+	switch {
+	case !created:
+	case head.Owner == s.Runner.Self:
 		s.adopt(ctx, head, b, nil, nil)
+	default:
+		s.handTo(context.WithoutCancel(ctx), owner, head, b)
 	}
 	return nil
 }
 
+// ownerOf returns the host that runs the batches of a model. One host for each
+// keeps the connections to the engines and what is known of their pace.
+func (s *Service) ownerOf(model string) roster.Host {
+	hosts := s.Roster.Hosts()
+	first := rendezvous.Owner("model/"+model, roster.IDs(hosts))
+	for _, h := range hosts {
+		if h.ID == first && (h.Peer != "" && s.Link != nil || h.ID == s.Runner.Self.Host) {
+			return h
+		}
+	}
+	return s.Roster.Self
+}
+
+// handTo hands a batch to its owner, and takes it back if the owner doesn't
+// answer. The caller has its confirmation at once.
+func (s *Service) handTo(ctx context.Context, owner roster.Host, head batch.Head, b batch.Batch) {
+	s.Runner.Go(func() error {
+		running, err := s.Link.Adopt(ctx, owner.Peer, head, b)
+		if running {
+			return nil
+		}
+		s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch not handed over", slog.String("batch", head.ID),
+			slog.String("owner", owner.ID), slog.Any("error", err))
+		claimed, err := s.Batches.Claim(ctx, head, s.Runner.Self)
+		if err != nil {
+			// The sweep of some host finds the batch later.
+			s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch not taken back", slog.String("batch", head.ID), slog.Any("error", err))
+			return nil
+		}
+		s.Index.Put(claimed)
+		s.adopt(ctx, claimed, b, nil, nil)
+		return nil
+	})
+}
+
+// Adopt runs a batch that another host accepted and stored with this host as
+// its owner. It returns false if this host is leaving.
+func (s *Service) Adopt(ctx context.Context, head batch.Head, b batch.Batch) bool {
+	s.Index.Put(head)
+	s.adopt(ctx, head, b, nil, nil)
+	return s.Runner.Has(head.ID)
+}
+
+// Page implements what other hosts read of this host's batches.
+func (s *Service) Page(ctx context.Context, id string, after int) (batch.Page, bool) {
+	return s.Runner.Page(ctx, id, after)
+}
+
 // Read returns the results from position after on. It waits for one until ctx's
 // deadline and returns a page without results then.
 func (s *Service) Read(ctx context.Context, id string, after int) (batch.Page, error) {
@@ -66,6 +133,9 @@
 	if err != nil {
 		return batch.Page{}, err
 	}
+	if page, ok := s.readAtOwner(ctx, head, after); ok {
+		return page, nil
+	}
 	storeCtx := context.WithoutCancel(ctx)
 	results, revision, err := s.Batches.Results(storeCtx, id, after)
 	if err != nil {
@@ -81,6 +151,25 @@
 	return batch.Cut(results, head.Total, after), nil
 }
 
+// readAtOwner reads results in the memory of the batch's owner. It returns false
+// if the store has to be asked.
+func (s *Service) readAtOwner(ctx context.Context, head batch.Head, after int) (batch.Page, bool) {
+	owner, ok := s.Roster.Get(head.Owner.Host)
+	if s.Link == nil || !head.IsOpen() || !ok || owner.Incarnation != head.Owner.Incarnation || owner.Peer == "" {
+		return batch.Page{}, false
+	}
+	var wait time.Duration
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = max(time.Until(deadline), 0)
+	}
+	page, ok, err := s.Link.Read(ctx, owner.Peer, head.ID, after, wait)
+	if err != nil {
+		s.Logger.LogAttrs(ctx, slog.LevelInfo, "owner not reached", slog.String("batch", head.ID),
+			slog.String("owner", owner.ID), slog.Any("error", err))
+	}
+	return page, ok
+}
+
 // Body returns the body of an item.
 func (s *Service) Body(ctx context.Context, id, item string) ([]byte, error) {
 	if body, ok := s.Runner.Body(id, item); ok {
@@ -177,7 +266,7 @@
 func (s *Service) isOurs(head batch.Head, hosts []string, orphaned time.Duration) bool {
 	switch head.Owner {
 	case s.Runner.Self:
-		return true
+		return orphaned >= ownDelay
 	case batch.Owner{}:
 	default:
 		if orphaned < orphanDelay {
