Reach the store through other hosts while it turns this one away

Change: kvrelay.Store sends a call that certainly had no effect to another listed host by gRPC; a call whose outcome is open is never sent twice.

--- a/cmd/nutmegway/hostcmd.go
+++ b/cmd/nutmegway/hostcmd.go
@@ -58,7 +58,7 @@
 	client := &plain.Client{Dial: dialer.DialContext}
 	h := &host.Host{
 		Dialect: platform.Dialect(), Documents: platform.Documents{}, Engines: platform.Engines{Plain: client},
-		Logger: logger, Plain: client, Settings: settings, Store: &platform.Store{Address: settings.StoreAddress},
+		Logger: logger, Plain: client, Settings: settings, Direct: &platform.Store{Address: settings.StoreAddress},
 	}
 	h.SetUp()
 	callers := platform.Callers{Host: h, Logger: logger}
@@ -72,4 +72,3 @@
 	}
 	return nil
 }
-
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
 
 	"github.com/nutmegway/nutmegway/internal/backend/dialect"
 	"github.com/nutmegway/nutmegway/internal/backend/generation"
@@ -18,8 +19,11 @@
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/base/rendezvous"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kvrelay"
+	"github.com/nutmegway/nutmegway/internal/external/kvrelay/kvrelaypb"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
 	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
+	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/fleet/roster"
 	"github.com/nutmegway/nutmegway/internal/request/forward"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
@@ -75,7 +79,8 @@
 	Logger    *slog.Logger
 	Plain     *plain.Client
 	Settings  Settings
-	Store     kv.RangeStore
+	// Direct is the key-value service as this host reaches it itself.
+	Direct kv.RangeStore
 
 	// The handlers of the three listeners.
 	Callers   http.Handler
@@ -92,12 +97,14 @@
 	giver     *loading.Giver
 	inventory *inventory.Inventory
 	leaving   atomic.Bool
-	link      *batchlink.Client
+	peers     *peer.Pool
 	live      *mirror.Mirror
 	retired   retirements
 	roster    *roster.Roster
 	runner    *batchrun.Runner
 	servers   *serverFeed
+	// store is the key-value service by any way.
+	store kv.RangeStore
 }
 
 // SetUp builds the parts of the host.
@@ -105,18 +112,23 @@
 	incarnation := uuid.NewString()
 	h.drain = make(chan struct{})
 	h.inventory = &inventory.Inventory{}
+	h.peers = &peer.Pool{Options: peer.LocalOptions()}
+	h.store = h.Direct
+	if h.Settings.PeerAddress != "" {
+		h.store = &kvrelay.Store{Direct: h.Direct, Logger: h.Logger, Peers: h}
+	}
 	h.servers = &serverFeed{Documents: h.Documents, Inventory: h.inventory, Logger: h.Logger}
 	h.Forwarder = &forward.Forwarder{
 		Client: h.Plain, Dialect: h.Dialect, Inventory: h.inventory, Logger: h.Logger, Zone: h.Settings.Zone,
 	}
 	h.roster = &roster.Roster{
-		Logger: h.Logger, Store: h.Store,
+		Logger: h.Logger, Store: h.store,
 		Self: roster.Host{
 			Address: h.Settings.CallerAddress, ID: h.Settings.ID, Incarnation: incarnation,
 			Peer: h.Settings.PeerAddress, Zone: h.Settings.Zone,
 		},
 	}
-	batches := &batch.Store{KV: h.Store, Logger: h.Logger}
+	batches := &batch.Store{KV: h.store, Logger: h.Logger}
 	h.runner = &batchrun.Runner{
 		Batches: batches, Config: h.config.Load, Inventory: h.inventory, Logger: h.Logger,
 		Generation: &generation.Client{Dialect: h.Dialect, Logger: h.Logger, Plain: h.Plain},
@@ -127,15 +139,14 @@
 		Logger: h.Logger, Roster: h.roster, Runner: h.runner,
 	}
 	if h.Settings.PeerAddress != "" {
-		h.link = batchlink.NewClient()
-		h.Batches.Link = h.link
+		h.Batches.Link = &batchlink.Client{Pool: h.peers}
 	}
 	h.runner.OnHead = h.Batches.Index.Put
 	h.giver = &loading.Giver{
 		Config: h.config.Load, Engines: h.Engines, Fleet: h.fleet, Inventory: h.inventory, Logger: h.Logger,
 		Self: h.Settings.ID, Spacing: h.Settings.OrderSpacing,
 	}
-	h.retired = retirements{Duty: h.isFirst, Documents: h.Documents, Logger: h.Logger, Store: h.Store, wake: make(chan struct{}, 1)}
+	h.retired = retirements{Duty: h.isFirst, Documents: h.Documents, Logger: h.Logger, Store: h.store, wake: make(chan struct{}, 1)}
 }
 
 // Run serves until Drain is called or ctx ends.
@@ -166,10 +177,13 @@
 	for _, m := range mirrors {
 		group.Go(func() error { return m.Run(groupCtx) })
 	}
-	if h.link != nil {
-		defer func() { _ = h.link.Close() }()
-		server := &batchlink.Server{Address: h.Settings.PeerAddress, Owner: h.Batches}
+	if h.Settings.PeerAddress != "" {
+		server := &peer.Server{Address: h.Settings.PeerAddress, Register: func(s *grpc.Server) {
+			batchlink.Register(s, h.Batches)
+			kvrelay.Register(s, h.Direct)
+		}}
 		group.Go(func() error { return server.Run(groupCtx) })
+		defer func() { _ = h.peers.Close() }()
 	}
 	group.Go(func() error { return h.roster.Run(groupCtx) })
 	group.Go(func() error { return h.runner.Run(groupCtx) })
@@ -189,9 +203,28 @@
 	return group.Wait()
 }
 
+// Addresses and Relay implement kvrelay.Peers: any listed host may pass calls
+// of the store on.
+func (h *Host) Addresses() []string {
+	var addresses []string
+	for _, host := range h.roster.Listed() {
+		if host.ID != h.Settings.ID && host.Peer != "" {
+			addresses = append(addresses, host.Peer)
+		}
+	}
+	return addresses
+}
+
+// Relay implements kvrelay.Peers.
+func (h *Host) Relay(address string, do func(kvrelaypb.RelayClient) error) error {
+	return h.peers.Call(address, func(conn grpc.ClientConnInterface) error {
+		return do(kvrelaypb.NewRelayClient(conn))
+	})
+}
+
 // fleet reads the list of living hosts at the store.
 func (h *Host) fleet(ctx context.Context) (loading.Fleet, error) {
-	hosts, revision, err := roster.Read(ctx, h.Store)
+	hosts, revision, err := roster.Read(ctx, h.store)
 	if err != nil {
 		return loading.Fleet{}, err
 	}
@@ -213,7 +246,7 @@
 	}
 	compaction := new(mirror.Compaction)
 	for _, m := range mirrors {
-		m.Compaction, m.Logger, m.Store = compaction, h.Logger, h.Store
+		m.Compaction, m.Logger, m.Store = compaction, h.Logger, h.store
 	}
 	return mirrors
 }
@@ -277,8 +310,9 @@
 // Ready reports whether the host takes new requests.
 func (h *Host) Ready() bool { return !h.leaving.Load() && h.config.Load() != nil }
 
-// Addresses returns where callers connect and how long they may use the answer.
-func (h *Host) Addresses() ([]string, time.Duration, error) {
+// CallerAddresses returns where callers connect and how long they may use the
+// answer.
+func (h *Host) CallerAddresses() ([]string, time.Duration, error) {
 	if h.config.Load() == nil {
 		return nil, 0, kind.New(kind.Unavailable, "no configuration is known yet").WithRetryAfter(notReadyWait)
 	}
--- a/internal/rollout/batchlink/batchlink.go
+++ b/internal/rollout/batchlink/batchlink.go
@@ -7,11 +7,9 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net"
 	"time"
 
 	"github.com/zeebo/errs"
-	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
@@ -27,11 +25,6 @@
 	adoptTimeout = 300 * time.Millisecond
 	// readMargin is added to the wait of a reader.
 	readMargin = 300 * time.Millisecond
-	// maxMessageBytes holds a page of results or a batch.
-	maxMessageBytes = 32 << 20
-	// probeInterval and probeCount let the kernel find a silent connection.
-	probeInterval = time.Second
-	probeCount    = 2
 )
 
 // Owner is what the owner of batches does for other hosts.
@@ -44,30 +37,9 @@
 	Page(ctx context.Context, id string, after int) (batch.Page, bool)
 }
 
-// Server answers other hosts. The fields are set before Run.
-type Server struct {
-	Address string
-	Owner   Owner
-}
-
-// Run serves until ctx ends.
-func (s *Server) Run(ctx context.Context) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Address)
-	if err != nil {
-		return classError.Wrap(err)
-	}
-	server := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes))
-	batchlinkpb.RegisterBatchLinkServer(server, handler{owner: s.Owner})
-	var group errgroup.Group
-	group.Go(func() error {
-		<-ctx.Done()
-		server.Stop()
-		return nil
-	})
-	if err := server.Serve(listener); err != nil && !errors.Is(err, grpc.ErrServerStopped) && ctx.Err() == nil {
-		return classError.Wrap(err)
-	}
-	return group.Wait()
+// Register serves the calls of other hosts from owner.
+func Register(server *grpc.Server, owner Owner) {
+	batchlinkpb.RegisterBatchLinkServer(server, handler{owner: owner})
 }
 
 type handler struct {
@@ -106,27 +78,11 @@
 	return reply, nil
 }
 
-// Client asks other hosts. Use NewClient.
+// Client asks other hosts. The fields are set before the first call.
 type Client struct {
-	pool *peer.Pool
-}
-
-// NewClient returns a client without connections.
-func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: adoptTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount,
-	}}
-	return &Client{pool: &peer.Pool{Options: []grpc.DialOption{
-		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
-		}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
-	}}}
+	Pool *peer.Pool
 }
 
-// Close closes the connections.
-func (c *Client) Close() error { return c.pool.Close() }
-
 // Adopt hands a stored batch to its owner at address and reports whether the
 // owner runs it now.
 func (c *Client) Adopt(ctx context.Context, address string, head batch.Head, b batch.Batch) (bool, error) {
@@ -168,17 +124,12 @@
 	return page, true, nil
 }
 
-// call makes one call. A connection on which it failed is closed, since it may
-// be silent for good.
 func call[T any](c *Client, address string, do func(batchlinkpb.BatchLinkClient) (T, error)) (T, error) {
-	conn, err := c.pool.Conn(address)
-	if err != nil {
-		var none T
-		return none, classError.Wrap(err)
-	}
-	reply, err := do(batchlinkpb.NewBatchLinkClient(conn))
-	if err != nil {
-		c.pool.Forget(address)
-	}
+	var reply T
+	err := c.Pool.Call(address, func(conn grpc.ClientConnInterface) error {
+		var err error
+		reply, err = do(batchlinkpb.NewBatchLinkClient(conn))
+		return err
+	})
 	return reply, classError.Wrap(err)
 }
