Enter orders in a register before they are given, so that a host need not wait blindly

Cause: each host that restarted or left moved its engines, and whoever became first for one waited 3.9 s although nobody had ordered it for longer. In a rolling restart and after the final fault no engine took weights for seconds. Change: an order is entered in the store first, under the condition that no host was added since the list was read and that this one is still listed. A new first host reads the last entry and waits only after another host's recent order.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -143,8 +143,9 @@
 	}
 	h.runner.OnHead = h.Batches.Index.Put
 	h.giver = &loading.Giver{
-		Config: h.config.Load, Engines: h.Engines, Fleet: h.fleet, Inventory: h.inventory, Logger: h.Logger,
-		Self: h.Settings.ID, Spacing: h.Settings.OrderSpacing,
+		Config: h.config.Load, Engines: h.Engines, Inventory: h.inventory, Logger: h.Logger,
+		Register: loading.Ledger{Self: h.Settings.ID, Store: h.store}, Self: h.Settings.ID,
+		Spacing: h.Settings.OrderSpacing,
 	}
 	h.retired = retirements{Duty: h.isFirst, Documents: h.Documents, Logger: h.Logger, Store: h.store, wake: make(chan struct{}, 1)}
 }
@@ -222,15 +223,6 @@
 	})
 }
 
-// fleet reads the list of living hosts at the store.
-func (h *Host) fleet(ctx context.Context) (loading.Fleet, error) {
-	hosts, revision, err := roster.Read(ctx, h.store)
-	if err != nil {
-		return loading.Fleet{}, err
-	}
-	return loading.Fleet{Hosts: roster.IDs(hosts), Revision: revision}, nil
-}
-
 // mirrors returns the mirrors of operators, backend servers and the fleet.
 func (h *Host) mirrors() []*mirror.Mirror {
 	prefixes := h.Documents.Prefixes()
--- a/internal/external/kvrelay/kvrelay.go
+++ b/internal/external/kvrelay/kvrelay.go
@@ -71,8 +71,12 @@
 	err := error(kind.New(kind.StoreUnavailable, "the store is away and no other host is known"))
 	if s.isDirect() {
 		err = direct()
+		if ctx.Err() != nil {
+			// The caller ended the call, which says nothing of the service.
+			return err
+		}
 		s.noteDirect(err)
-		if err == nil || !kind.Is(err, kind.StoreUnavailable) || ctx.Err() != nil {
+		if err == nil || !kind.Is(err, kind.StoreUnavailable) {
 			return err
 		}
 	}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -18,7 +18,14 @@
 )
 
 // Prefix is the prefix of the keys of hosts.
-const Prefix = mirror.LivePrefix + "hosts/"
+const Prefix = listPrefix + "/"
+
+const (
+	listPrefix = mirror.LivePrefix + "hosts"
+	// epochKey changes whenever a host is added to the list, so that a write can
+	// be made under the condition that none was.
+	epochKey = listPrefix + "-epoch"
+)
 
 const (
 	// leaseTTL is how long a host stays listed after its last renewal. A dead
@@ -113,22 +120,47 @@
 	return present(r.hosts)
 }
 
-// Read reads the listed hosts that are not leaving at the store, and the store's
-// revision.
-func Read(ctx context.Context, store kv.Store) ([]Host, int64, error) {
-	entries, revision, err := store.List(ctx, Prefix)
+// List is the list of hosts as the store held it at one moment.
+type List struct {
+	// Hosts are those that are not leaving.
+	Hosts []Host
+	// Revision is the store's revision of the list. It is higher than that of
+	// any list to which a host was added before.
+	Revision int64
+
+	revisions map[string]int64
+}
+
+// Read reads the list at the store.
+func Read(ctx context.Context, store kv.Store) (List, error) {
+	entries, revision, err := store.List(ctx, listPrefix)
 	if err != nil {
-		return nil, 0, err
+		return List{}, err
 	}
+	list := List{Revision: revision, revisions: make(map[string]int64, len(entries))}
 	hosts := make(map[string]Host, len(entries))
 	for _, entry := range entries {
+		list.revisions[entry.Key] = entry.ModRevision
+		if entry.Key == epochKey {
+			continue
+		}
 		var host Host
 		if err := json.Unmarshal(entry.Value, &host); err != nil {
-			return nil, 0, kind.Wrap(kind.Internal, err)
+			return List{}, kind.Wrap(kind.Internal, err)
 		}
 		hosts[host.ID] = host
 	}
-	return present(hosts), revision, nil
+	list.Hosts = present(hosts)
+	return list, nil
+}
+
+// Unchanged are the conditions under which no host was added since the list was
+// read and the host id is still listed.
+func (l List) Unchanged(id string) []kv.Condition {
+	return []kv.Condition{
+		{Key: epochKey, ModRevision: l.revisions[epochKey]},
+		{Key: Prefix + id, ModRevision: l.revisions[Prefix+id]},
+	}
 }
 
 func present(hosts map[string]Host) []Host {
@@ -212,8 +244,7 @@
 // renew extends the lease, and writes the entry when it isn't there.
 func (r *Roster) renew(ctx context.Context) error {
 	r.mu.Lock()
-	lease, written, self := r.lease, r.written, r.Self
-	self.Leaving = r.leaving
+	lease, written := r.lease, r.written
 	r.mu.Unlock()
 	if lease != 0 && written {
 		left, err := r.Store.KeepAlive(ctx, lease)
@@ -222,6 +253,16 @@
 		}
 		lease = 0
 	}
+	return r.Enlist(ctx, lease)
+}
+
+// Enlist writes this host's entry under lease, or under a new one if lease is
+// zero.
+func (r *Roster) Enlist(ctx context.Context, lease kv.LeaseID) error {
+	r.mu.Lock()
+	self := r.Self
+	self.Leaving = r.leaving
+	r.mu.Unlock()
 	if lease == 0 {
 		granted, err := r.Store.GrantLease(ctx, leaseTTL)
 		if err != nil {
@@ -233,7 +274,9 @@
 	if err != nil {
 		return kind.Wrap(kind.Internal, err)
 	}
-	_, err = r.Store.Commit(ctx, kv.Txn{Writes: []kv.Write{{Key: Prefix + self.ID, Lease: lease, Value: value}}})
+	_, err = r.Store.Commit(ctx, kv.Txn{Writes: []kv.Write{
+		{Key: Prefix + self.ID, Lease: lease, Value: value}, {Key: epochKey, Value: []byte(self.Incarnation)},
+	}})
 	if kind.Is(err, kind.NotFound) {
 		lease = 0
 	}
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -129,8 +129,10 @@
 func (r *Runner) Observe(head batch.Head) {
 	r.mu.Lock()
 	x := r.runs[head.ID]
+	// News may be older than what this host wrote itself.
+	old := x != nil && head.Revision < x.head.Revision
 	r.mu.Unlock()
-	if x == nil || head.IsOpen() && head.Owner == r.Self {
+	if x == nil || old || head.IsOpen() && head.Owner == r.Self {
 		return
 	}
 	r.stop(x, head)
--- a/internal/rollout/loading/giver.go
+++ b/internal/rollout/loading/giver.go
@@ -53,10 +53,15 @@
 	Holder string
 }
 
-// Fleet is the list of living hosts as the store holds it at Revision.
-type Fleet struct {
-	Hosts    []string
-	Revision int64
+// Register is where the right to order engines is settled between hosts.
+type Register interface {
+	// Permit reads which hosts are alive.
+	Permit(ctx context.Context) (Permit, error)
+	// Enter notes that this host orders engines. It fails if the permit no
+	// longer holds.
+	Enter(ctx context.Context, permit Permit, engines []string, now time.Time) error
+	// Records returns the last order of each engine.
+	Records(ctx context.Context) (map[string]Record, error)
 }
 
 // Engines passes orders to model engines.
@@ -70,21 +75,20 @@
 }
 
 // Giver gives orders to the engines that are this host's: those for which it
-// ranks first among the living hosts. The right to order follows from the list
-// of hosts alone, which is read at the store before each round of orders; the
-// store's revision is the fencing number. A host that became first for an
-// engine waits until no order of the host before can be under way any more. The
-// loss of a host leaves only its own engines without orders for that time. The
-// fields are set before Run.
+// ranks first among the living hosts. Each order is entered in the register
+// before it is given, under the condition that the list of hosts still ranks
+// this host first; the store's revision is the fencing number. A host that
+// became first for an engine reads who ordered it last, and waits the spacing if
+// that was another host a moment ago. The loss of a host leaves only its own
+// engines without orders for that time. The fields are set before Run.
 type Giver struct {
-	Config  func() *config.Config
-	Engines Engines
-	// Fleet reads the list of living hosts at the store.
-	Fleet     func(ctx context.Context) (Fleet, error)
+	Config    func() *config.Config
+	Engines   Engines
 	Inventory *inventory.Inventory
 	Logger    *slog.Logger
 	// Now is the clock; nil means time.Now.
-	Now func() time.Time
+	Now      func() time.Time
+	Register Register
 	// Self is the id of this host.
 	Self string
 	// Spacing is the least time between orders of two hosts to one engine.
@@ -176,6 +180,7 @@
 			orders, doubtful = append(orders, due...), append(doubtful, ask...)
 		}
 	}
+	g.readRecords(ctx)
 	orders, fence := g.permitted(ctx, orders)
 	group, groupCtx := errgroup.WithContext(ctx)
 	for _, order := range orders {
@@ -193,28 +198,68 @@
 	_ = group.Wait()
 }
 
+// readRecords reads the last orders of the engines that became this host's.
+func (g *Giver) readRecords(ctx context.Context) {
+	g.mu.Lock()
+	var unread []string
+	for id := range g.orders {
+		if g.rights.rank(id) {
+			unread = append(unread, id)
+		}
+	}
+	g.mu.Unlock()
+	if len(unread) == 0 {
+		return
+	}
+	records, err := g.Register.Records(ctx)
+	if err != nil {
+		g.Logger.LogAttrs(ctx, slog.LevelWarn, "last orders not read", slog.Any("error", err))
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	for _, id := range unread {
+		record, found := records[id]
+		g.rights.take(id, record, found, now)
+		g.Logger.LogAttrs(ctx, slog.LevelInfo, "engine is this host's", slog.String("server", id),
+			slog.String("last-host", record.Host), slog.Duration("orders-in", g.rights.engines[id].from.Sub(now)))
+	}
+}
+
 // permitted returns the orders that this host may give now, and their fencing
 // number.
 func (g *Giver) permitted(ctx context.Context, orders []Order) ([]Order, int64) {
 	if len(orders) == 0 {
 		return nil, 0
 	}
-	fleet, err := g.Fleet(ctx)
+	permit, err := g.Register.Permit(ctx)
 	if err != nil {
 		g.Logger.LogAttrs(ctx, slog.LevelWarn, "orders not given, the list of hosts is unknown",
 			slog.Int("orders", len(orders)), slog.Any("error", err))
 		return nil, 0
 	}
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.rights.hosts = fleet.Hosts
+	g.rights.hosts = permit.Hosts
 	var permitted []Order
+	var engines []string
 	for _, order := range orders {
+		g.rights.rank(order.Server.ID)
 		if g.rights.may(order.Server.ID, g.now()) {
 			permitted = append(permitted, order)
+			engines = append(engines, order.Server.ID)
 		}
 	}
-	return permitted, fleet.Revision
+	g.mu.Unlock()
+	if len(engines) == 0 {
+		return nil, 0
+	}
+	if err := g.Register.Enter(ctx, permit, engines, g.now()); err != nil {
+		g.Logger.LogAttrs(ctx, slog.LevelWarn, "orders not given, they could not be entered",
+			slog.Any("engines", engines), slog.Any("error", err))
+		return nil, 0
+	}
+	return permitted, permit.Revision
 }
 
 func (g *Giver) now() time.Time {
@@ -234,8 +279,6 @@
 		server := candidate.Server
 		server.Versions = candidate.Versions
 		servers = append(servers, server)
-		// The right to an engine counts from when it began, not from the first order.
-		g.rights.may(server.ID, now)
 		p := g.orders[server.ID]
 		if p == nil || p.started != server.Started {
 			p = &progress{started: server.Started}
--- a/internal/rollout/loading/loading_test.go
+++ b/internal/rollout/loading/loading_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,8 +13,11 @@
 	"github.com/matryer/is"
 
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
+	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
+	"github.com/nutmegway/nutmegway/internal/fleet/roster"
 	"github.com/nutmegway/nutmegway/internal/rollout/loading"
+	"github.com/nutmegway/nutmegway/internal/standin/kvmemory"
 )
 
 func engine(id string, version int64) inventory.Server {
@@ -131,17 +135,41 @@
 
 // fleet is the list of hosts as the store holds it.
 type fleet struct {
+	store *kvmemory.Store
+
 	mu    sync.Mutex
-	hosts []string
-	rev   int64
 	away  map[string]bool
+	stops map[string]func()
 }
 
-func (f *fleet) set(hosts ...string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.hosts = hosts
-	f.rev++
+func newFleet() *fleet {
+	return &fleet{away: make(map[string]bool), stops: make(map[string]func()), store: &kvmemory.Store{}}
+}
+
+// set replaces the list as the hosts' own entries would.
+func (f *fleet) set(t *testing.T, hosts ...string) {
+	t.Helper()
+	for id, stop := range f.stops {
+		if !slices.Contains(hosts, id) {
+			stop()
+			f.store.Remove(roster.Prefix + id)
+			delete(f.stops, id)
+		}
+	}
+	for _, id := range hosts {
+		if f.stops[id] != nil {
+			continue
+		}
+		r := &roster.Roster{Logger: slog.New(slog.DiscardHandler), Self: roster.Host{ID: id, Incarnation: id}, Store: f.store}
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { _ = r.Run(ctx) })
+		f.stops[id] = func() {
+			cancel()
+			group.Wait()
+		}
+	}
+	synctest.Wait()
 }
 
 func (f *fleet) cut(host string, away bool) {
@@ -150,15 +178,21 @@
 	f.away[host] = away
 }
 
-func (f *fleet) read(self string) func(context.Context) (loading.Fleet, error) {
-	return func(context.Context) (loading.Fleet, error) {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		if f.away[self] {
-			return loading.Fleet{}, errors.New("cut off")
-		}
-		return loading.Fleet{Hosts: f.hosts, Revision: f.rev}, nil
+// register is a ledger behind a path that may be cut.
+type register struct {
+	loading.Ledger
+
+	fleet *fleet
+}
+
+func (r register) Permit(ctx context.Context) (loading.Permit, error) {
+	r.fleet.mu.Lock()
+	away := r.fleet.away[r.Self]
+	r.fleet.mu.Unlock()
+	if away {
+		return loading.Permit{}, errors.New("cut off")
 	}
+	return r.Ledger.Permit(ctx)
 }
 
 const spacing = 3 * time.Second
@@ -166,8 +200,9 @@
 func giver(self string, f *fleet, e *engines) *loading.Giver {
 	c := &config.Config{Services: map[string]config.Service{"s": {Name: "s", Models: []string{"m"}}}}
 	return &loading.Giver{
-		Config: func() *config.Config { return c }, Engines: e, Fleet: f.read(self), Inventory: e.inv,
+		Config: func() *config.Config { return c }, Engines: e, Inventory: e.inv,
 		Logger: slog.New(slog.DiscardHandler), Self: self, Spacing: spacing,
+		Register: register{Ledger: loading.Ledger{Self: self, Store: f.store}, fleet: f},
 	}
 }
 
@@ -181,8 +216,9 @@
 		for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
 			e.inv.Set(engine(id, 1))
 		}
-		f := &fleet{away: map[string]bool{}}
-		f.set("h1", "h2", "h3")
+		f := newFleet()
+		defer f.set(t)
+		f.set(t, "h1", "h2", "h3")
 		ctx, cancel := context.WithCancel(t.Context())
 		var group sync.WaitGroup
 		var givers []*loading.Giver
@@ -200,12 +236,12 @@
 			switch version {
 			case 8: // h1 is cut off; its entry lapses, the others hear of it
 				f.cut("h1", true)
-				f.set("h2", "h3")
+				f.set(t, "h2", "h3")
 				givers[1].Observe([]string{"h2", "h3"})
 				givers[2].Observe([]string{"h2", "h3"})
 			case 15:
 				f.cut("h1", false)
-				f.set("h1", "h2", "h3")
+				f.set(t, "h1", "h2", "h3")
 				for _, g := range givers {
 					g.Observe([]string{"h1", "h2", "h3"})
 				}
@@ -229,6 +265,31 @@
 	})
 }
 
+// TestEnterNeedsTheListAsRead adds a host between the reading of the list and
+// the entry of an order, and takes the own entry away: neither order is entered.
+func TestEnterNeedsTheListAsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet()
+		defer f.set(t)
+		f.set(t, "h1")
+		ledger := loading.Ledger{Self: "h1", Store: f.store}
+		permit, err := ledger.Permit(t.Context())
+		is.NoErr(err)
+		is.NoErr(ledger.Enter(t.Context(), permit, []string{"a"}, time.Now()))
+		f.set(t, "h1", "h2")
+		is.True(kind.Is(ledger.Enter(t.Context(), permit, []string{"a"}, time.Now()), kind.Conflict))
+		permit, err = ledger.Permit(t.Context())
+		is.NoErr(err)
+		f.store.Remove(roster.Prefix + "h1")
+		is.True(kind.Is(ledger.Enter(t.Context(), permit, []string{"b"}, time.Now()), kind.Conflict))
+		records, err := ledger.Records(t.Context())
+		is.NoErr(err)
+		is.Equal(len(records), 1)
+		is.Equal(records["a"].Host, "h1")
+	})
+}
+
 // TestLostAnswerIsAskedFor loses the answers of all orders: the engine is asked
 // and the next order has the count that it told.
 func TestLostAnswerIsAskedFor(t *testing.T) {
@@ -238,8 +299,9 @@
 			accepted: map[string]int64{"a": 7}, holders: map[string][]orderAt{}, inv: &inventory.Inventory{}, lose: true,
 		}
 		e.inv.Set(engine("a", 1))
-		f := &fleet{away: map[string]bool{}}
-		f.set("h1")
+		f := newFleet()
+		defer f.set(t)
+		f.set(t, "h1")
 		g := giver("h1", f, e)
 		g.Observe([]string{"h1"})
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/rollout/loading/rights.go
+++ b/internal/rollout/loading/rights.go
@@ -6,11 +6,15 @@
 	"github.com/nutmegway/nutmegway/internal/base/rendezvous"
 )
 
+// clockDoubt is how far the clocks of two hosts may be apart. Clocks are known
+// to step by two seconds.
+const clockDoubt = 3 * time.Second
+
 // rights decides whether this host may order an engine. It does no I/O.
 type rights struct {
 	hosts []string
 	self  string
-	// spacing is how long a host waits after it became first for an engine.
+	// spacing is how long after the order of another host this one may order.
 	spacing time.Duration
 
 	engines map[string]*right
@@ -18,17 +22,16 @@
 
 // right is what this host knows of its right to one engine.
 type right struct {
-	// first is whether this host ranks first, and since when.
+	// first is whether this host ranks first.
 	first bool
-	since time.Time
-	// lost is when it last ceased to rank first.
-	lost time.Time
+	// from is when it may order, once read.
+	from time.Time
+	read bool
 }
 
-// may reports whether this host has ranked first for the engine for long
-// enough. A host that was away for less than the spacing keeps its right: no
-// other host can have ordered meanwhile.
-func (r *rights) may(engine string, now time.Time) bool {
+// rank notes whether this host ranks first for the engine, and reports whether
+// the record of the engine's last order has to be read.
+func (r *rights) rank(engine string) (needsRecord bool) {
 	if r.engines == nil {
 		r.engines = make(map[string]*right)
 	}
@@ -38,14 +41,29 @@
 		r.engines[engine] = e
 	}
 	first := rendezvous.Owner(engine, r.hosts) == r.self
-	switch {
-	case first && !e.first:
-		if e.since.IsZero() || now.Sub(e.lost) >= r.spacing {
-			e.since = now
-		}
-	case !first && e.first:
-		e.lost = now
+	if !first || !e.first {
+		e.read = false
 	}
 	e.first = first
-	return first && now.Sub(e.since) >= r.spacing
+	return first && !e.read
+}
+
+// take takes over the record of an engine's last order, which was read after
+// this host ranked first. Whoever ranked first before can give no more orders.
+func (r *rights) take(engine string, record Record, found bool, now time.Time) {
+	e, ok := r.engines[engine]
+	if !ok || !e.first || e.read {
+		return
+	}
+	e.read, e.from = true, now
+	old := now.Sub(time.UnixMilli(record.AtMillis)) >= r.spacing+clockDoubt
+	if found && record.Host != r.self && !old {
+		e.from = now.Add(r.spacing)
+	}
+}
+
+// may reports whether this host may order the engine.
+func (r *rights) may(engine string, now time.Time) bool {
+	e, ok := r.engines[engine]
+	return ok && e.first && e.read && !now.Before(e.from)
 }
