Take over at once from an owner that came back as another incarnation or is silent

Cause: a batch waited for the lease of its owner's entry (2.5 s, counted anew after each outage of the store) and 0.9 s more, although the owner's machine answered as another incarnation or not at all. Change: the host that would take over asks the owner four times a second; four unanswered questions make it dead. Claims are fenced as before.

--- a/internal/rollout/batchlink/batchlink.go
+++ b/internal/rollout/batchlink/batchlink.go
@@ -61,6 +61,11 @@
 	return &batchlinkpb.AdoptReply{Running: h.owner.Adopt(ctx, head, b)}, nil
 }
 
+// Ping implements batchlinkpb.BatchLinkServer.
+func (handler) Ping(context.Context, *batchlinkpb.PingRequest) (*batchlinkpb.PingReply, error) {
+	return &batchlinkpb.PingReply{}, nil
+}
+
 // Read implements batchlinkpb.BatchLinkServer.
 func (h handler) Read(ctx context.Context, r *batchlinkpb.ReadRequest) (*batchlinkpb.ReadReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.GetWaitMillis())*time.Millisecond)
@@ -104,6 +109,14 @@
 	return reply.GetRunning(), err
 }
 
+// Ping asks whether the host at address lives.
+func (c *Client) Ping(ctx context.Context, address string) error {
+	_, err := call(c, address, func(link batchlinkpb.BatchLinkClient) (*batchlinkpb.PingReply, error) {
+		return link.Ping(ctx, &batchlinkpb.PingRequest{})
+	})
+	return err
+}
+
 // Read reads results at the owner. It returns false if the owner doesn't run
 // the batch any more.
 func (c *Client) Read(ctx context.Context, address, id string, after int, wait time.Duration) (batch.Page, bool, error) {
--- a/internal/rollout/batchrun/service.go
+++ b/internal/rollout/batchrun/service.go
@@ -20,6 +20,11 @@
 	// ownDelay is how long a host waits for the handover of a batch that was
 	// stored in its name before it reads the batch from the store.
 	ownDelay = 600 * time.Millisecond
+	// pingTimeout bounds the question to an owner whether it lives, and
+	// pingFailures is how many unanswered ones in a row make it dead. A host that
+	// is wrongly taken for dead loses its batches, but nothing that was listed.
+	pingTimeout  = 250 * time.Millisecond
+	pingFailures = 4
 	// orphanDelay is how long an owner must be missing from the list of hosts
 	// before another one takes its batches. A host whose entry lapsed while it
 	// lives writes it again within this time.
@@ -30,6 +35,8 @@
 type Link interface {
 	// Adopt hands a stored batch to its owner and reports whether it runs there.
 	Adopt(ctx context.Context, address string, head batch.Head, b batch.Batch) (bool, error)
+	// Ping asks whether the host at address lives.
+	Ping(ctx context.Context, address string) error
 	// Read reads results at the owner; false if it doesn't run the batch.
 	Read(ctx context.Context, address, id string, after int, wait time.Duration) (batch.Page, bool, error)
 }
@@ -45,9 +52,12 @@
 	Roster *roster.Roster
 	Runner *Runner
 
-	mu sync.Mutex
 	// orphaned holds since when the owner of an open batch is missing.
 	orphaned map[string]time.Time
+
+	mu sync.Mutex
+	// silent counts the unanswered pings of hosts, by incarnation.
+	silent map[string]int
 }
 
 // Submit accepts a batch once. After an error whose Ran is "no" no part of it
@@ -235,14 +245,20 @@
 func (s *Service) sweep(ctx context.Context, now time.Time) {
 	open := s.Index.Open()
 	present := make(map[string]bool, len(open))
-	hosts := s.Roster.Hosts()
-	ids := make([]string, 0, len(hosts))
-	for _, h := range hosts {
-		ids = append(ids, h.ID)
-	}
+	pinged := make(map[string]bool)
 	for _, head := range open {
 		present[head.ID] = true
-		if s.Runner.Has(head.ID) || !s.isOrphan(head) {
+		if s.Runner.Has(head.ID) {
+			delete(s.orphaned, head.ID)
+			continue
+		}
+		successor := s.successor(head)
+		if successor && !pinged[head.Owner.Incarnation] {
+			pinged[head.Owner.Incarnation] = true
+			s.ping(ctx, head.Owner)
+		}
+		delay, orphan := s.isOrphan(head)
+		if !orphan {
 			delete(s.orphaned, head.ID)
 			continue
 		}
@@ -250,7 +266,7 @@
 		if !ok {
 			s.orphaned[head.ID], since = now, now
 		}
-		if s.isOurs(head, ids, now.Sub(since)) {
+		if now.Sub(since) >= delay && (successor || head.Owner == s.Runner.Self) {
 			s.takeOver(ctx, head)
 		}
 	}
@@ -261,25 +277,66 @@
 	}
 }
 
-// isOurs reports whether this host takes a batch that nobody runs. All hosts
-// that see the same list choose the same one.
-func (s *Service) isOurs(head batch.Head, hosts []string, orphaned time.Duration) bool {
-	switch head.Owner {
-	case s.Runner.Self:
-		return orphaned >= ownDelay
-	case batch.Owner{}:
+// successor reports whether this host takes the batch if its owner is gone. All
+// hosts that see the same list choose the same one.
+func (s *Service) successor(head batch.Head) bool {
+	ids := roster.IDs(s.Roster.Hosts())
+	ids = slices.DeleteFunc(ids, func(id string) bool { return id == head.Owner.Host && len(ids) > 1 && !s.returned(head.Owner) })
+	return rendezvous.Owner(head.ID, ids) == s.Runner.Self.Host
+}
+
+// returned reports whether the owner's host runs another incarnation by now.
+func (s *Service) returned(owner batch.Owner) bool {
+	host, ok := s.Roster.Get(owner.Host)
+	return ok && host.Incarnation != owner.Incarnation
+}
+
+// isOrphan reports whether nobody runs the batch, and how long this has to last
+// before it counts.
+func (s *Service) isOrphan(head batch.Head) (time.Duration, bool) {
+	switch {
+	case head.Owner == s.Runner.Self:
+		// Its handover is under way, or the call that stored it had no answer.
+		return ownDelay, true
+	case head.Owner == batch.Owner{} || s.returned(head.Owner) || s.isSilent(head.Owner):
+		return 0, true
 	default:
-		if orphaned < orphanDelay {
-			return false
-		}
+		return orphanDelay, !s.Roster.Alive(head.Owner.Host, head.Owner.Incarnation)
 	}
-	return rendezvous.Owner(head.ID, hosts) == s.Runner.Self.Host
 }
 
-// isOrphan reports whether nobody runs the batch. A batch of this host's that
-// it does not run was stored by a call whose answer was lost.
-func (s *Service) isOrphan(head batch.Head) bool {
-	return head.Owner == s.Runner.Self || !s.Roster.Alive(head.Owner.Host, head.Owner.Incarnation)
+func (s *Service) isSilent(owner batch.Owner) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent[owner.Incarnation] >= pingFailures
+}
+
+// ping asks an owner whether it lives, without waiting for its answer.
+func (s *Service) ping(ctx context.Context, owner batch.Owner) {
+	host, ok := s.Roster.Get(owner.Host)
+	if s.Link == nil || !ok || host.Peer == "" || owner == s.Runner.Self {
+		return
+	}
+	s.Runner.Go(func() error {
+		ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+		defer cancel()
+		err := s.Link.Ping(ctx, host.Peer)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.silent == nil {
+			s.silent = make(map[string]int)
+		}
+		if err == nil {
+			delete(s.silent, owner.Incarnation)
+			return nil
+		}
+		s.silent[owner.Incarnation]++
+		if s.silent[owner.Incarnation] == pingFailures {
+			s.Logger.LogAttrs(ctx, slog.LevelWarn, "owner of batches is silent", slog.String("owner", owner.Host),
+				slog.Int("unanswered", pingFailures), slog.Any("error", err))
+		}
+		return nil
+	})
 }
 
 // takeOver makes this host the owner of a batch and runs it.
