Let a few hosts watch the store for all

Change: two hosts, or one of 24, watch the store; the others follow them by gRPC from their mirrors' recent events, and ask the store themselves if a reader fails or hasn't heard of the store for 3 s.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -22,6 +22,7 @@
 	"github.com/nutmegway/nutmegway/internal/external/kvrelay"
 	"github.com/nutmegway/nutmegway/internal/external/kvrelay/kvrelaypb"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
+	"github.com/nutmegway/nutmegway/internal/fleet/follow"
 	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/fleet/roster"
@@ -37,6 +38,9 @@
 	// unnoticed. A configuration is in force everywhere two seconds after it was
 	// accepted.
 	operatorsWait = 1500 * time.Millisecond
+	// sharedWait bounds the waits of the other watches, so that hosts that follow
+	// this one know that it still hears of the store.
+	sharedWait = 2 * time.Second
 	// gatherChanges is the pause after news of servers and hosts. Leaving
 	// servers take requests for two more seconds.
 	gatherChanges = 120 * time.Millisecond
@@ -175,17 +179,18 @@
 	}
 	h.runner.Start(group)
 	mirrors := h.mirrors()
-	for _, m := range mirrors {
-		group.Go(func() error { return m.Run(groupCtx) })
-	}
 	if h.Settings.PeerAddress != "" {
 		server := &peer.Server{Address: h.Settings.PeerAddress, Register: func(s *grpc.Server) {
 			batchlink.Register(s, h.Batches)
+			follow.Register(s, mirrors)
 			kvrelay.Register(s, h.Direct)
 		}}
 		group.Go(func() error { return server.Run(groupCtx) })
 		defer func() { _ = h.peers.Close() }()
 	}
+	for _, m := range mirrors {
+		group.Go(func() error { return m.Run(groupCtx) })
+	}
 	group.Go(func() error { return h.roster.Run(groupCtx) })
 	group.Go(func() error { return h.runner.Run(groupCtx) })
 	group.Go(func() error { return h.Batches.Run(duties) })
@@ -226,19 +231,22 @@
 // mirrors returns the mirrors of operators, backend servers and the fleet.
 func (h *Host) mirrors() []*mirror.Mirror {
 	prefixes := h.Documents.Prefixes()
-	h.live = &mirror.Mirror{Gather: gatherChanges, Prefix: mirror.LivePrefix, OnChange: func(c mirror.Change) {
+	h.live = &mirror.Mirror{Gather: gatherChanges, Prefix: mirror.LivePrefix, Wait: sharedWait, OnChange: func(c mirror.Change) {
 		h.roster.Apply(c)
 		h.giver.Observe(roster.IDs(h.roster.Listed()))
 		h.Batches.Index.Apply(c)
 	}}
 	mirrors := []*mirror.Mirror{
 		{OnChange: h.applyOperators, Prefix: prefixes.Operators, Wait: operatorsWait},
-		{Gather: gatherChanges, OnChange: h.servers.apply, Prefix: prefixes.Servers},
+		{Gather: gatherChanges, OnChange: h.servers.apply, Prefix: prefixes.Servers, Wait: sharedWait},
 		h.live,
 	}
 	compaction := new(mirror.Compaction)
 	for _, m := range mirrors {
 		m.Compaction, m.Logger, m.Store = compaction, h.Logger, h.store
+		if h.Settings.PeerAddress != "" {
+			m.Source = &follow.Source{Pool: h.peers, Roster: h.roster, Self: h.Settings.ID}
+		}
 	}
 	return mirrors
 }
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -6,7 +6,9 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +27,8 @@
 	// outage and still notices its end within half a second.
 	retryFirst = 50 * time.Millisecond
 	retryMax   = 500 * time.Millisecond
+	// recentEvents is the number of events that are kept for hosts that follow.
+	recentEvents = 2000
 )
 
 // Change is what one batch of the watch, or a list, changed.
@@ -64,6 +68,24 @@
 	}
 }
 
+// Source is another host that follows the store itself.
+type Source interface {
+	// Follow returns what changed below prefix after revision, waiting for a
+	// change until ctx ends. It returns false if this host is to ask the store
+	// itself, and an error if the other host can't be reached or is behind.
+	Follow(ctx context.Context, prefix string, revision int64) (News, bool, error)
+}
+
+// News is a part of a prefix's history.
+type News struct {
+	// Events lead from the revision that was asked for to Revision.
+	Events []kv.Event
+	// Reset is set if Events are all keys that exist, since the history from the
+	// revision on isn't known.
+	Reset    bool
+	Revision int64
+}
+
 // Mirror follows one prefix. The fields are set before Run.
 type Mirror struct {
 	// Compaction is shared by the mirrors of a process; nil stands alone.
@@ -75,13 +97,23 @@
 	// OnChange is called for each change in order, by one goroutine.
 	OnChange func(Change)
 	Prefix   string
-	Store    kv.Store
+	// Source is asked instead of the store while it can be; nil asks the store.
+	Source Source
+	Store  kv.Store
 	// Wait bounds how long one call waits at the store. Zero leaves it to the
 	// store's client. A short wait notices a dropped history soon.
 	Wait time.Duration
 
-	mu    sync.Mutex
-	known map[string]kv.Entry
+	mu sync.Mutex
+	// changed is closed and replaced with each change.
+	changed chan struct{}
+	// confirmed is when the store itself last answered.
+	confirmed time.Time
+	known     map[string]kv.Entry
+	// recent are the newest events, all those after recentFrom.
+	recent     []kv.Event
+	recentFrom int64
+	revision   int64
 }
 
 // Run follows the prefix until ctx ends.
@@ -119,25 +151,122 @@
 // step lists when there is no watcher, and otherwise waits for one batch.
 func (m *Mirror) step(ctx context.Context, watcher kv.Watcher, lostSince time.Time) (kv.Watcher, error) {
 	gone := m.Compaction.Gone()
+	if followed, err := m.follow(ctx, lostSince); followed {
+		// The watch goes on from where the other host left off.
+		next, watchErr := m.Store.Watch(ctx, m.Prefix, m.at())
+		if watchErr != nil {
+			return nil, watchErr
+		}
+		return next, err
+	}
 	if watcher == nil {
 		entries, revision, err := m.Store.List(ctx, m.Prefix)
 		if err != nil {
 			return nil, err
 		}
-		m.apply(m.difference(entries), outageSince(lostSince))
+		m.apply(m.difference(entries), revision, outageSince(lostSince))
+		m.confirm()
 		return m.Store.Watch(ctx, m.Prefix, revision)
 	}
 	batch, err := m.next(ctx, watcher, gone)
 	if err != nil {
 		return nil, err
 	}
-	m.apply(batch.Events, outageSince(lostSince))
+	m.apply(batch.Events, batch.Revision, outageSince(lostSince))
+	m.confirm()
 	if len(batch.Events) > 0 && m.Gather > 0 {
 		sleep(ctx, m.Gather)
 	}
 	return watcher, nil
 }
 
+// follow asks another host for news. It returns false if the store is to be
+// asked.
+func (m *Mirror) follow(ctx context.Context, lostSince time.Time) (bool, error) {
+	if m.Source == nil {
+		return false, nil
+	}
+	news, ok, err := m.Source.Follow(ctx, m.Prefix, m.at())
+	if !ok {
+		return false, nil
+	}
+	if err != nil {
+		if ctx.Err() == nil {
+			m.Logger.LogAttrs(ctx, slog.LevelInfo, "other host not followed", slog.String("prefix", m.Prefix), slog.Any("error", err))
+		}
+		return false, nil
+	}
+	events := news.Events
+	if news.Reset {
+		entries := make([]kv.Entry, 0, len(events))
+		for _, event := range events {
+			entries = append(entries, event.Entry)
+		}
+		events = m.difference(entries)
+	}
+	m.apply(events, news.Revision, outageSince(lostSince))
+	if len(events) > 0 && m.Gather > 0 {
+		sleep(ctx, m.Gather)
+	}
+	return true, nil
+}
+
+func (m *Mirror) at() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
+func (m *Mirror) confirm() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.confirmed = time.Now()
+}
+
+// Since returns what changed after revision, for hosts that follow this one. It
+// waits for a change until ctx ends. It returns false if the store has not
+// answered this host for longer than maxAge.
+func (m *Mirror) Since(ctx context.Context, revision int64, maxAge time.Duration) (News, bool) {
+	for {
+		m.mu.Lock()
+		if time.Since(m.confirmed) > maxAge || revision > m.revision {
+			m.mu.Unlock()
+			return News{}, false
+		}
+		news, found := m.newsSince(revision)
+		if m.changed == nil {
+			m.changed = make(chan struct{})
+		}
+		changed := m.changed
+		m.mu.Unlock()
+		if found || ctx.Err() != nil {
+			return news, true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// newsSince reports whether there is news. m.mu is held.
+func (m *Mirror) newsSince(revision int64) (News, bool) {
+	news := News{Revision: m.revision}
+	if revision == 0 || revision < m.recentFrom {
+		news.Reset = true
+		for _, key := range slices.Sorted(maps.Keys(m.known)) {
+			news.Events = append(news.Events, kv.Event{Entry: m.known[key]})
+		}
+		return news, true
+	}
+	for _, event := range m.recent {
+		if event.Entry.ModRevision > revision {
+			news.Events = append(news.Events, event)
+		}
+	}
+	return news, len(news.Events) > 0
+}
+
 // next waits for one batch. It fails with ErrCompacted as soon as any mirror of
 // the process has learned that the history was dropped.
 func (m *Mirror) next(ctx context.Context, watcher kv.Watcher, gone <-chan struct{}) (kv.Batch, error) {
@@ -198,17 +327,32 @@
 	return events
 }
 
-func (m *Mirror) apply(events []kv.Event, outage time.Duration) {
+func (m *Mirror) apply(events []kv.Event, revision int64, outage time.Duration) {
 	m.mu.Lock()
 	if m.known == nil {
 		m.known = make(map[string]kv.Entry)
+		m.recentFrom = revision
 	}
 	for _, event := range events {
 		if event.Delete {
 			delete(m.known, event.Entry.Key)
-			continue
+		} else {
+			m.known[event.Entry.Key] = event.Entry
+		}
+		if event.Entry.ModRevision == 0 {
+			// A list doesn't tell when a key was deleted.
+			event.Entry.ModRevision = revision
 		}
-		m.known[event.Entry.Key] = event.Entry
+		m.recent = append(m.recent, event)
+	}
+	if drop := len(m.recent) - recentEvents; drop > 0 {
+		m.recentFrom = m.recent[drop-1].Entry.ModRevision
+		m.recent = slices.Delete(m.recent, 0, drop)
+	}
+	m.revision = max(m.revision, revision)
+	if m.changed != nil && len(events) > 0 {
+		close(m.changed)
+		m.changed = nil
 	}
 	m.mu.Unlock()
 	if m.OnChange != nil && (len(events) > 0 || outage > 0) {
