--- a/cmd/nutmegway/hostcmd.go
+++ b/cmd/nutmegway/hostcmd.go
@@ -6,6 +6,9 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -40,12 +43,12 @@
 		if err := lowest.UnmarshalText([]byte(*level)); err != nil {
 			return err
 		}
-		return runHost(ctx, settings, lowest, stdout)
+		return runHost(ctx, *path, settings, lowest, stdout)
 	}}
 }
 
 // runHost runs the host that the settings describe.
-func runHost(ctx context.Context, settings host.Settings, level slog.Level, stdout io.Writer) error {
+func runHost(ctx context.Context, path string, settings host.Settings, level slog.Level, stdout io.Writer) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	out := &telemetry.BoundedWriter{LinesPerSecond: logLinesPerSecond, Writer: stdout}
@@ -67,8 +70,43 @@
 	h.Readiness = http.HandlerFunc(callers.ServeReady)
 	stopSignals := onSignals(logger, h.Drain, cancel)
 	defer stopSignals()
+	stopReloads := onReload(func() { checkReload(path, settings, logger) })
+	defer stopReloads()
 	if err := h.Run(ctx); err != nil && ctx.Err() == nil {
 		return err
 	}
 	return nil
 }
+
+// checkReload reads the settings file again and tells what has changed.
+func checkReload(path string, inForce host.Settings, logger *slog.Logger) {
+	changed, err := platform.LoadSettings(path)
+	if err != nil {
+		logger.Warn("settings not read again, those in force stay", slog.Any("error", err))
+		return
+	}
+	logger.Info("settings read again", slog.Any("changed-at-next-start", inForce.Changed(changed)))
+}
+
+// onReload calls reload at each SIGHUP.
+func onReload(reload func()) (stop func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	group := newGroup()
+	done := make(chan struct{})
+	group.Go(func() error {
+		for {
+			select {
+			case <-signals:
+				reload()
+			case <-done:
+				return nil
+			}
+		}
+	})
+	return func() {
+		signal.Stop(signals)
+		close(done)
+		_ = group.Wait()
+	}
+}
--- a/internal/entry/host/settings.go
+++ b/internal/entry/host/settings.go
@@ -67,6 +67,33 @@
 	return errors.Join(mistakes...)
 }
 
+// Changed returns the names of the settings that differ. All of them take effect
+// at the next start.
+func (s Settings) Changed(other Settings) []string {
+	var names []string
+	for _, field := range []struct {
+		name    string
+		differs bool
+	}{
+		{"caller-address", s.CallerAddress != other.CallerAddress},
+		{"directory-address", s.DirectoryAddress != other.DirectoryAddress},
+		{"grace", s.Grace != other.Grace},
+		{"id", s.ID != other.ID},
+		{"max-address-ttl", s.MaxAddressTTL != other.MaxAddressTTL},
+		{"order-spacing", s.OrderSpacing != other.OrderSpacing},
+		{"peer-address", s.PeerAddress != other.PeerAddress},
+		{"ready-address", s.ReadyAddress != other.ReadyAddress},
+		{"result-retention", s.ResultRetention != other.ResultRetention},
+		{"store-address", s.StoreAddress != other.StoreAddress},
+		{"zone", s.Zone != other.Zone},
+	} {
+		if field.differs {
+			names = append(names, field.name)
+		}
+	}
+	return names
+}
+
 func checkAddress(address string) error {
 	_, _, err := net.SplitHostPort(address)
 	return err
