--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -43,7 +43,7 @@
 	sharedWait = 2 * time.Second
 	// gatherChanges is the pause after news of servers and hosts. Leaving
 	// servers take requests for two more seconds.
-	gatherChanges = 120 * time.Millisecond
+	gatherChanges = 200 * time.Millisecond
 	// notReadyWait is when a caller comes again whose host knows no configuration.
 	notReadyWait = 300 * time.Millisecond
 	// leaveWait is how long a leaving host still takes requests. Callers have
--- a/internal/rollout/loading/rights.go
+++ b/internal/rollout/loading/rights.go
@@ -10,6 +10,24 @@
 // to step by two seconds.
 const clockDoubt = 3 * time.Second
 
+const (
+	// allGivers is up to how many hosts each of them orders engines. In a larger
+	// fleet one of hostsPerGiver does, so that one call of the store serves the
+	// orders to several engines.
+	allGivers     = 12
+	hostsPerGiver = 12
+	minGivers     = 6
+)
+
+// givers are the hosts that order engines, the same for all that know the same
+// hosts.
+func givers(hosts []string) []string {
+	if len(hosts) <= allGivers {
+		return hosts
+	}
+	return rendezvous.Rank("givers", hosts)[:max(minGivers, len(hosts)/hostsPerGiver)]
+}
+
 // rights decides whether this host may order an engine. It does no I/O.
 type rights struct {
 	hosts []string
@@ -40,7 +58,7 @@
 		e = &right{}
 		r.engines[engine] = e
 	}
-	first := rendezvous.Owner(engine, r.hosts) == r.self
+	first := rendezvous.Owner(engine, givers(r.hosts)) == r.self
 	if !first || !e.first {
 		e.read = false
 	}
