--- /dev/null
+++ b/internal/external/kvrelay/kvrelay_test.go
@@ -0,0 +1,161 @@
+package kvrelay_test
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/nutmegway/nutmegway/internal/base/kind"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
+	"github.com/nutmegway/nutmegway/internal/external/kvrelay"
+	"github.com/nutmegway/nutmegway/internal/external/kvrelay/kvrelaypb"
+)
+
+// stub is a store with one key, which refuses or loses calls on demand.
+type stub struct {
+	kv.RangeStore
+
+	calls atomic.Int64
+	err   atomic.Pointer[kind.Error]
+}
+
+func (s *stub) fail() error {
+	s.calls.Add(1)
+	if err := s.err.Load(); err != nil {
+		return err
+	}
+	return nil
+}
+
+func (s *stub) Get(_ context.Context, key string) (kv.Entry, error) {
+	return kv.Entry{Key: key, ModRevision: 7, Value: []byte("value")}, s.fail()
+}
+
+func (s *stub) Commit(context.Context, kv.Txn) (kv.TxnResult, error) {
+	return kv.TxnResult{Current: []kv.Entry{{Key: "a", ModRevision: 7}}, Revision: 8}, s.fail()
+}
+
+func (s *stub) Watch(_ context.Context, _ string, revision int64) (kv.Watcher, error) {
+	return stubWatcher{s, revision}, nil
+}
+
+type stubWatcher struct {
+	*stub
+
+	revision int64
+}
+
+func (stubWatcher) Close() {}
+
+func (w stubWatcher) Next(context.Context) (kv.Batch, error) {
+	if err := w.fail(); err != nil {
+		return kv.Batch{}, err
+	}
+	if w.revision < 5 {
+		return kv.Batch{}, kv.ErrCompacted
+	}
+	return kv.Batch{Events: []kv.Event{{Entry: kv.Entry{Key: "a", ModRevision: w.revision + 1}}}, Revision: w.revision + 1}, nil
+}
+
+// peers is one other host.
+type peers struct{ conn *grpc.ClientConn }
+
+func (peers) Addresses() []string { return []string{"peer"} }
+
+func (p peers) Relay(_ string, do func(kvrelaypb.RelayClient) error) error {
+	return do(kvrelaypb.NewRelayClient(p.conn))
+}
+
+// newPair returns a relay store, its own way to the service and another host's.
+func newPair(t *testing.T) (store *kvrelay.Store, own, other *stub) {
+	t.Helper()
+	own, other = &stub{}, &stub{}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer()
+	kvrelay.Register(server, other)
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(listener) })
+	conn, err := grpc.NewClient(listener.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = conn.Close()
+		server.Stop()
+		_ = group.Wait()
+	})
+	return &kvrelay.Store{Direct: own, Logger: slog.New(slog.DiscardHandler), Peers: peers{conn}}, own, other
+}
+
+func TestRelay(t *testing.T) {
+	refused := kind.New(kind.StoreUnavailable, "refused")
+	lost := kind.New(kind.StoreWriteUnknown, "lost").WithRan(kind.RanUnknown)
+	cases := map[string]struct {
+		own, other         *kind.Error
+		wantKind           kind.Kind
+		wantOwn, wantOther int64
+	}{
+		"the service answers":                      {wantOwn: 1},
+		"it refuses this host":                     {own: refused, wantOwn: 1, wantOther: 1},
+		"it refuses both":                          {own: refused, other: refused, wantKind: kind.StoreUnavailable, wantOwn: 1, wantOther: 1},
+		"a write without an answer isn't repeated": {own: lost, wantKind: kind.StoreWriteUnknown, wantOwn: 1},
+		"nor is one that another host has passed":  {own: refused, other: lost, wantKind: kind.StoreWriteUnknown, wantOwn: 1, wantOther: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store, own, other := newPair(t)
+			own.err.Store(c.own)
+			other.err.Store(c.other)
+			result, err := store.Commit(t.Context(), kv.Txn{})
+			if c.wantKind == "" {
+				is.NoErr(err)
+				is.Equal(result, kv.TxnResult{Current: []kv.Entry{{Key: "a", ModRevision: 7}}, Revision: 8})
+			} else {
+				is.True(kind.Is(err, c.wantKind))
+			}
+			is.Equal(own.calls.Load(), c.wantOwn)
+			is.Equal(other.calls.Load(), c.wantOther)
+		})
+	}
+}
+
+func TestServiceIsNotAskedForAWhile(t *testing.T) {
+	is := is.New(t)
+	store, own, other := newPair(t)
+	own.err.Store(kind.New(kind.StoreUnavailable, "refused"))
+	for range 5 {
+		entry, err := store.Get(t.Context(), "a")
+		is.NoErr(err)
+		is.Equal(entry.Value, []byte("value"))
+	}
+	is.Equal(own.calls.Load(), int64(1))
+	is.Equal(other.calls.Load(), int64(5))
+}
+
+func TestRelayedWatch(t *testing.T) {
+	is := is.New(t)
+	store, own, _ := newPair(t)
+	own.err.Store(kind.New(kind.StoreUnavailable, "refused"))
+	watcher, err := store.Watch(t.Context(), "a", 5)
+	is.NoErr(err)
+	for want := int64(6); want < 9; want++ {
+		batch, err := watcher.Next(t.Context())
+		is.NoErr(err)
+		is.Equal(batch.Revision, want) // it goes on where it was
+	}
+	old, err := store.Watch(t.Context(), "a", 1)
+	is.NoErr(err)
+	_, err = old.Next(t.Context())
+	is.Equal(err, kv.ErrCompacted)
+}
--- /dev/null
+++ b/internal/fleet/mirror/mirror_test.go
@@ -0,0 +1,223 @@
+package mirror_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/nutmegway/nutmegway/internal/external/kv"
+	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
+	"github.com/nutmegway/nutmegway/internal/standin/kvmemory"
+)
+
+// recorder notes what a mirror told.
+type recorder struct {
+	mu      sync.Mutex
+	outages int
+	state   map[string]string
+}
+
+func (r *recorder) onChange(c mirror.Change) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c.Outage > 0 {
+		r.outages++
+	}
+	if r.state == nil {
+		r.state = make(map[string]string)
+	}
+	for _, e := range c.Events {
+		if e.Delete {
+			delete(r.state, e.Entry.Key)
+			continue
+		}
+		r.state[e.Entry.Key] = string(e.Entry.Value)
+	}
+}
+
+func (r *recorder) get(key string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state[key]
+}
+
+func put(t *testing.T, store kv.Store, key, value string) {
+	t.Helper()
+	if _, err := store.Commit(t.Context(), kv.Txn{Writes: []kv.Write{{Key: key, Value: []byte(value)}}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func start(t *testing.T, mirrors ...*mirror.Mirror) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	for _, m := range mirrors {
+		m.Logger = slog.New(slog.DiscardHandler)
+		group.Go(func() { _ = m.Run(ctx) })
+	}
+	return func() {
+		cancel()
+		group.Wait()
+	}
+}
+
+func TestMirrorFollowsThroughAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store, r := &kvmemory.Store{}, &recorder{}
+		put(t, store, "p/1", "a")
+		put(t, store, "q/1", "other")
+		stop := start(t, &mirror.Mirror{OnChange: r.onChange, Prefix: "p/", Store: store})
+		defer stop()
+		synctest.Wait()
+		is.Equal(r.get("p/1"), "a")
+		is.Equal(r.get("q/1"), "")
+		store.Inject(func(method string) kvmemory.Fault {
+			if method == "commit" {
+				return kvmemory.FaultNone
+			}
+			return kvmemory.FaultRefused
+		})
+		put(t, store, "p/1", "b")
+		store.Remove("p/none")
+		time.Sleep(5 * time.Second)
+		is.Equal(r.get("p/1"), "a")
+		store.Inject(nil)
+		time.Sleep(time.Second)
+		is.Equal(r.get("p/1"), "b")
+		is.Equal(r.outages, 1)
+	})
+}
+
+// TestDroppedHistory is what a watch hears of that waits while the store drops
+// its history: nothing before the end of its wait. A short wait of one mirror is
+// enough for all.
+func TestDroppedHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		deaf := &deafStore{Store: &kvmemory.Store{}}
+		put(t, deaf, "p/1", "a")
+		put(t, deaf, "q/1", "a")
+		rp, rq := &recorder{}, &recorder{}
+		shared := new(mirror.Compaction)
+		stop := start(t,
+			&mirror.Mirror{Compaction: shared, OnChange: rp.onChange, Prefix: "p/", Store: deaf, Wait: time.Second},
+			&mirror.Mirror{Compaction: shared, OnChange: rq.onChange, Prefix: "q/", Store: deaf, Wait: time.Hour},
+		)
+		defer stop()
+		synctest.Wait()
+		deaf.setDeaf(true)
+		put(t, deaf, "p/1", "b")
+		put(t, deaf, "q/1", "b")
+		store := deaf.Store
+		store.Compact()
+		deaf.setDeaf(false)
+		time.Sleep(1500 * time.Millisecond)
+		is.Equal(rp.get("p/1"), "b")
+		is.Equal(rq.get("q/1"), "b")
+	})
+}
+
+// deafStore is a store whose waiting watches hear nothing of what happens while
+// it is deaf, until they ask again.
+type deafStore struct {
+	*kvmemory.Store
+
+	mu   sync.Mutex
+	deaf bool
+}
+
+func (s *deafStore) setDeaf(deaf bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf = deaf
+}
+
+func (s *deafStore) Watch(ctx context.Context, prefix string, revision int64) (kv.Watcher, error) {
+	w, err := s.Store.Watch(ctx, prefix, revision)
+	return &deafWatcher{Watcher: w, store: s}, err
+}
+
+type deafWatcher struct {
+	kv.Watcher
+
+	store *deafStore
+}
+
+func (w *deafWatcher) Next(ctx context.Context) (kv.Batch, error) {
+	batch, err := w.Watcher.Next(ctx)
+	w.store.mu.Lock()
+	deaf := w.store.deaf
+	w.store.mu.Unlock()
+	if deaf && ctx.Err() == nil {
+		<-ctx.Done() // the wait goes on to its end
+		return kv.Batch{}, kv.ErrCompacted
+	}
+	return batch, err
+}
+
+// source follows another mirror.
+type source struct {
+	err    error
+	mirror *mirror.Mirror
+}
+
+func (s *source) Follow(ctx context.Context, _ string, revision int64) (mirror.News, bool, error) {
+	if s.err != nil {
+		return mirror.News{}, true, s.err
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	news, ok := s.mirror.Since(ctx, revision, 3*time.Second)
+	if !ok {
+		return mirror.News{}, true, errors.New("behind")
+	}
+	return news, true, nil
+}
+
+// TestFollowerSeesWhatTheReaderSees changes, deletes and overflows the kept
+// events.
+func TestFollowerSeesWhatTheReaderSees(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store, r := &kvmemory.Store{}, &recorder{}
+		reader := &mirror.Mirror{Prefix: "p/", Store: store, Wait: 2 * time.Second}
+		follower := &mirror.Mirror{OnChange: r.onChange, Prefix: "p/", Source: &source{mirror: reader}, Store: store}
+		stop := start(t, reader, follower)
+		defer stop()
+		put(t, store, "p/1", "a")
+		time.Sleep(3 * time.Second)
+		is.Equal(r.get("p/1"), "a")
+		for n := range 5000 {
+			put(t, store, "p/2", fmt.Sprint(n))
+		}
+		store.Remove("p/1")
+		time.Sleep(3 * time.Second)
+		is.Equal(r.get("p/1"), "")
+		is.Equal(r.get("p/2"), "4999")
+	})
+}
+
+// TestFollowerAsksItselfWhenItsReaderFails has a reader that is never reached.
+func TestFollowerAsksItselfWhenItsReaderFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store, r := &kvmemory.Store{}, &recorder{}
+		follower := &mirror.Mirror{
+			OnChange: r.onChange, Prefix: "p/", Source: &source{err: errors.New("not reached")}, Store: store, Wait: time.Second,
+		}
+		stop := start(t, follower)
+		defer stop()
+		put(t, store, "p/1", "a")
+		time.Sleep(2 * time.Second)
+		is.Equal(r.get("p/1"), "a")
+	})
+}
