--- a/internal/entry/host/feeds.go
+++ b/internal/entry/host/feeds.go
@@ -17,9 +17,9 @@
 	// lapseGrace is how long after the store's return a server whose entry
 	// lapsed meanwhile is still used. Living servers are back in two seconds.
 	lapseGrace = 2200 * time.Millisecond
-	// outageMin is the shortest silence of the store during which entries may
+	// shortestOutage is the shortest silence of the store during which entries may
 	// have lapsed.
-	outageMin = 300 * time.Millisecond
+	shortestOutage = 300 * time.Millisecond
 
 	retireInterval = 500 * time.Millisecond
 )
@@ -40,7 +40,7 @@
 func (f *serverFeed) apply(change mirror.Change) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if change.Outage > outageMin {
+	if change.Outage > shortestOutage {
 		f.keepUntil = time.Now().Add(lapseGrace)
 	}
 	for _, event := range change.Events {
--- a/internal/entry/node/admin.go
+++ b/internal/entry/node/admin.go
@@ -9,11 +9,11 @@
 	"google.golang.org/grpc"
 
 	"github.com/nutmegway/nutmegway/internal/entry/adminapi"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/fleet/address"
 	"github.com/nutmegway/nutmegway/internal/fleet/document"
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
-	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 // stateLeaving is shown for a member that takes no new callers.
--- a/internal/entry/node/documents.go
+++ b/internal/entry/node/documents.go
@@ -5,10 +5,10 @@
 
 	"google.golang.org/grpc"
 
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/fleet/document"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/fleet/spread"
-	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 func (n *Node) addDocuments(_ context.Context, pool *peer.Pool, registrar *grpc.Server) error {
--- a/internal/entry/node/hosts.go
+++ b/internal/entry/node/hosts.go
@@ -6,12 +6,12 @@
 
 	"google.golang.org/grpc"
 
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 	"github.com/nutmegway/nutmegway/internal/fleet/datagram"
 	"github.com/nutmegway/nutmegway/internal/fleet/hosts"
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/fleet/server"
-	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 )
 
 // followLeaving drains the node when the host list shows it as leaving.
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -16,12 +16,12 @@
 	"google.golang.org/grpc"
 
 	"github.com/nutmegway/nutmegway/internal/entry/settings"
-	"github.com/nutmegway/nutmegway/internal/fleet/address"
-	"github.com/nutmegway/nutmegway/internal/fleet/member"
-	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/external/weightstore"
+	"github.com/nutmegway/nutmegway/internal/fleet/address"
+	"github.com/nutmegway/nutmegway/internal/fleet/member"
+	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/request/balance"
 	"github.com/nutmegway/nutmegway/internal/request/direct"
 )
--- a/internal/entry/node/store.go
+++ b/internal/entry/node/store.go
@@ -6,8 +6,8 @@
 	"go.opentelemetry.io/otel"
 	"google.golang.org/grpc"
 
-	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
+	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 )
 
 // countStore counts the node's calls of the key-value service.
--- a/internal/external/kvrelay/kvrelay.go
+++ b/internal/external/kvrelay/kvrelay.go
@@ -249,7 +249,7 @@
 }
 
 // Watch implements kv.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, revision int64) (kv.Watcher, error) {
+func (s *Store) Watch(_ context.Context, prefix string, revision int64) (kv.Watcher, error) {
 	return &watcher{prefix: prefix, revision: revision, store: s}, nil
 }
 
--- a/internal/fleet/document/store_test.go
+++ b/internal/fleet/document/store_test.go
@@ -12,8 +12,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
-	"github.com/nutmegway/nutmegway/internal/fleet/document"
 	"github.com/nutmegway/nutmegway/internal/external/etcd"
+	"github.com/nutmegway/nutmegway/internal/fleet/document"
 	standin "github.com/nutmegway/nutmegway/internal/standin/etcd"
 )
 
--- a/internal/fleet/hosts/follower.go
+++ b/internal/fleet/hosts/follower.go
@@ -13,10 +13,10 @@
 	"google.golang.org/grpc"
 
 	"github.com/nutmegway/nutmegway/internal/base/rendezvous"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 	"github.com/nutmegway/nutmegway/internal/fleet/hosts/hostspb"
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
-	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 )
 
 var classError = errs.Class("hosts")
--- a/internal/fleet/hosts/follower_test.go
+++ b/internal/fleet/hosts/follower_test.go
@@ -14,10 +14,10 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 	"github.com/nutmegway/nutmegway/internal/fleet/hosts"
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
-	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 )
 
 // platform is the platform's list in memory.
--- a/internal/fleet/hosts/journal_test.go
+++ b/internal/fleet/hosts/journal_test.go
@@ -8,8 +8,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/nutmegway/nutmegway/internal/fleet/hosts"
 	"github.com/nutmegway/nutmegway/internal/external/hostlist"
+	"github.com/nutmegway/nutmegway/internal/fleet/hosts"
 )
 
 // A node that follows two readers in turn, each of which sees only some of the
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -16,7 +16,6 @@
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
-	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
 )
 
 var classError = errs.Class("lease")
@@ -25,7 +24,7 @@
 	// DefaultTTL is the time to live of a lease whose Holder sets none.
 	DefaultTTL = 5 * time.Second
 
-	keyPrefix = mirror.LivePrefix + "leases/"
+	keyPrefix = "nutmegway/leases/"
 	// The margin, the intervals at which another holder's lease is read and
 	// the own one renewed, and the interval between repeats of a claim, as
 	// fractions of the time to live.
@@ -55,11 +54,7 @@
 // Holder tries for a lease and keeps it. The fields are set before Run.
 type Holder struct {
 	// ID names this node.
-	ID string
-	// Known returns what this node has heard of the lease's key without asking
-	// the store; nil asks the store. What it knows may be old, so it only keeps
-	// a node from asking while another one is likely to hold the lease.
-	Known  func(key string) (kv.Entry, bool)
+	ID     string
 	Logger *slog.Logger
 	// Margin is how long before the lease may end the holder stops to act. It
 	// covers the difference of the clocks' rates. Zero means a quarter of TTL.
@@ -175,12 +170,6 @@
 // acquire tries for the lease until it has it. It returns false when ctx ends.
 func (h *Holder) acquire(ctx context.Context) (kv.LeaseID, bool) {
 	for ctx.Err() == nil {
-		if h.Known != nil {
-			if _, held := h.Known(h.key()); held {
-				h.pause(ctx, h.ttl()/pollDivisor)
-				continue
-			}
-		}
 		entry, err := h.Store.Get(ctx, h.key())
 		if err != nil {
 			h.warn(ctx, "get", err)
@@ -327,10 +316,7 @@
 		slog.String("lease", h.Name), slog.String("step", step), slog.Any("error", classError.Wrap(err)))
 }
 
-// Key returns the key of the lease called name.
-func Key(name string) string { return keyPrefix + name }
-
-func (h *Holder) key() string { return Key(h.Name) }
+func (h *Holder) key() string { return keyPrefix + h.Name }
 
 func (h *Holder) ttl() time.Duration {
 	if h.TTL > 0 {
--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -13,9 +13,9 @@
 	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
-	"github.com/nutmegway/nutmegway/internal/fleet/lease"
 	"github.com/nutmegway/nutmegway/internal/external/etcd"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
+	"github.com/nutmegway/nutmegway/internal/fleet/lease"
 	standin "github.com/nutmegway/nutmegway/internal/standin/etcd"
 )
 
--- a/internal/fleet/member/agent.go
+++ b/internal/fleet/member/agent.go
@@ -18,9 +18,9 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 	"github.com/nutmegway/nutmegway/internal/fleet/datagram"
 	"github.com/nutmegway/nutmegway/internal/fleet/member/memberpb"
-	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 )
 
 var classError = errs.Class("member")
--- a/internal/fleet/member/detector.go
+++ b/internal/fleet/member/detector.go
@@ -8,8 +8,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/nutmegway/nutmegway/internal/fleet/member/memberpb"
 	"github.com/nutmegway/nutmegway/internal/external/hostlist"
+	"github.com/nutmegway/nutmegway/internal/fleet/member/memberpb"
 )
 
 // maxHealth is the worst value of the local health multiplier.
--- a/internal/fleet/member/detector_test.go
+++ b/internal/fleet/member/detector_test.go
@@ -9,9 +9,9 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/member/memberpb"
-	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 )
 
 func TestCrashIsSeenByAll(t *testing.T) {
--- a/internal/fleet/member/network_test.go
+++ b/internal/fleet/member/network_test.go
@@ -9,9 +9,9 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/member/memberpb"
-	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 )
 
 const step = 100 * time.Millisecond
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -151,13 +151,9 @@
 // step lists when there is no watcher, and otherwise waits for one batch.
 func (m *Mirror) step(ctx context.Context, watcher kv.Watcher, lostSince time.Time) (kv.Watcher, error) {
 	gone := m.Compaction.Gone()
-	if followed, err := m.follow(ctx, lostSince); followed {
+	if m.follow(ctx, lostSince) {
 		// The watch goes on from where the other host left off.
-		next, watchErr := m.Store.Watch(ctx, m.Prefix, m.at())
-		if watchErr != nil {
-			return nil, watchErr
-		}
-		return next, err
+		return m.Store.Watch(ctx, m.Prefix, m.at())
 	}
 	if watcher == nil {
 		entries, revision, err := m.Store.List(ctx, m.Prefix)
@@ -182,19 +178,19 @@
 
 // follow asks another host for news. It returns false if the store is to be
 // asked.
-func (m *Mirror) follow(ctx context.Context, lostSince time.Time) (bool, error) {
+func (m *Mirror) follow(ctx context.Context, lostSince time.Time) bool {
 	if m.Source == nil {
-		return false, nil
+		return false
 	}
 	news, ok, err := m.Source.Follow(ctx, m.Prefix, m.at())
 	if !ok {
-		return false, nil
+		return false
 	}
 	if err != nil {
 		if ctx.Err() == nil {
 			m.Logger.LogAttrs(ctx, slog.LevelInfo, "other host not followed", slog.String("prefix", m.Prefix), slog.Any("error", err))
 		}
-		return false, nil
+		return false
 	}
 	events := news.Events
 	if news.Reset {
@@ -208,7 +204,7 @@
 	if len(events) > 0 && m.Gather > 0 {
 		sleep(ctx, m.Gather)
 	}
-	return true, nil
+	return true
 }
 
 func (m *Mirror) at() int64 {
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -197,7 +197,7 @@
 		time.Sleep(3 * time.Second)
 		is.Equal(r.get("p/1"), "a")
 		for n := range 5000 {
-			put(t, store, "p/2", fmt.Sprint(n))
+			put(t, store, "p/2", strconv.Itoa(n))
 		}
 		store.Remove("p/1")
 		time.Sleep(3 * time.Second)
--- a/internal/fleet/server/directory_test.go
+++ b/internal/fleet/server/directory_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/nutmegway/nutmegway/internal/fleet/server"
 	"github.com/nutmegway/nutmegway/internal/external/hostlist"
+	"github.com/nutmegway/nutmegway/internal/fleet/server"
 )
 
 func TestEarliestSourceWins(t *testing.T) {
--- a/internal/fleet/spread/fleet_test.go
+++ b/internal/fleet/spread/fleet_test.go
@@ -14,11 +14,11 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/fleet/document"
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/fleet/spread"
-	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 const prefix = "documents/"
--- a/internal/fleet/spread/spreader.go
+++ b/internal/fleet/spread/spreader.go
@@ -14,10 +14,10 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/fleet/spread/spreadpb"
-	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 var classError = errs.Class("spread")
--- a/internal/lab/chaos/player.go
+++ b/internal/lab/chaos/player.go
@@ -8,9 +8,9 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 	"github.com/nutmegway/nutmegway/internal/lab/deployment"
 	"github.com/nutmegway/nutmegway/internal/lab/ledger"
-	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 	"github.com/nutmegway/nutmegway/internal/standin/caller"
 	"github.com/nutmegway/nutmegway/internal/standin/engine"
 	"github.com/nutmegway/nutmegway/internal/standin/etcd"
--- a/internal/lab/deployment/node.go
+++ b/internal/lab/deployment/node.go
@@ -12,10 +12,10 @@
 
 	"github.com/nutmegway/nutmegway/internal/entry/node"
 	"github.com/nutmegway/nutmegway/internal/entry/settings"
-	"github.com/nutmegway/nutmegway/internal/lab/process"
 	"github.com/nutmegway/nutmegway/internal/external/etcd"
 	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 	"github.com/nutmegway/nutmegway/internal/external/weightstore"
+	"github.com/nutmegway/nutmegway/internal/lab/process"
 	"github.com/nutmegway/nutmegway/internal/request/dispatch"
 	"github.com/nutmegway/nutmegway/internal/standin/faultproxy"
 )
--- a/internal/lab/deployment/process.go
+++ b/internal/lab/deployment/process.go
@@ -10,8 +10,8 @@
 	"path/filepath"
 	"strings"
 
-	"github.com/nutmegway/nutmegway/internal/lab/process"
 	"github.com/nutmegway/nutmegway/internal/external/hostlist"
+	"github.com/nutmegway/nutmegway/internal/lab/process"
 )
 
 // Pause stops the node's process without ending it. It does nothing when the
--- a/internal/lab/failover/failover.go
+++ b/internal/lab/failover/failover.go
@@ -13,9 +13,9 @@
 	"golang.org/x/sync/errgroup"
 
 	backend "github.com/nutmegway/nutmegway/internal/backend/engine"
+	"github.com/nutmegway/nutmegway/internal/external/etcd"
 	"github.com/nutmegway/nutmegway/internal/fleet/lease"
 	"github.com/nutmegway/nutmegway/internal/lab/report"
-	"github.com/nutmegway/nutmegway/internal/external/etcd"
 	standinengine "github.com/nutmegway/nutmegway/internal/standin/engine"
 	standinetcd "github.com/nutmegway/nutmegway/internal/standin/etcd"
 )
--- a/internal/lab/failover/product.go
+++ b/internal/lab/failover/product.go
@@ -8,9 +8,9 @@
 	"strings"
 	"time"
 
+	"github.com/nutmegway/nutmegway/internal/external/etcd"
 	"github.com/nutmegway/nutmegway/internal/lab/deployment"
 	"github.com/nutmegway/nutmegway/internal/lab/report"
-	"github.com/nutmegway/nutmegway/internal/external/etcd"
 	standinengine "github.com/nutmegway/nutmegway/internal/standin/engine"
 )
 
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -8,10 +8,10 @@
 	"sync"
 	"time"
 
-	"github.com/nutmegway/nutmegway/internal/fleet/document"
-	"github.com/nutmegway/nutmegway/internal/fleet/spread"
 	"github.com/nutmegway/nutmegway/internal/external/etcd"
 	"github.com/nutmegway/nutmegway/internal/external/hostlist"
+	"github.com/nutmegway/nutmegway/internal/fleet/document"
+	"github.com/nutmegway/nutmegway/internal/fleet/spread"
 	standinetcd "github.com/nutmegway/nutmegway/internal/standin/etcd"
 )
 
--- a/internal/lab/fleet/node.go
+++ b/internal/lab/fleet/node.go
@@ -11,14 +11,14 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
+	"github.com/nutmegway/nutmegway/internal/external/etcd"
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/fleet/document"
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/fleet/server"
 	"github.com/nutmegway/nutmegway/internal/fleet/spread"
-	"github.com/nutmegway/nutmegway/internal/external/etcd"
-	"github.com/nutmegway/nutmegway/internal/external/hostlist"
-	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 // segmentOverhead is the size of the IP and TCP headers that is added to each
--- a/internal/lab/spread/spread.go
+++ b/internal/lab/spread/spread.go
@@ -12,10 +12,10 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 	"github.com/nutmegway/nutmegway/internal/fleet/document"
 	"github.com/nutmegway/nutmegway/internal/lab/fleet"
 	"github.com/nutmegway/nutmegway/internal/lab/report"
-	"github.com/nutmegway/nutmegway/internal/external/hostlist"
 	standinetcd "github.com/nutmegway/nutmegway/internal/standin/etcd"
 )
 
--- a/internal/lab/swap/swap.go
+++ b/internal/lab/swap/swap.go
@@ -14,9 +14,9 @@
 	"github.com/nutmegway/nutmegway/internal/backend/engine"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/base/refusal"
+	"github.com/nutmegway/nutmegway/internal/external/weightstore"
 	"github.com/nutmegway/nutmegway/internal/lab/deployment"
 	"github.com/nutmegway/nutmegway/internal/lab/report"
-	"github.com/nutmegway/nutmegway/internal/external/weightstore"
 	standinengine "github.com/nutmegway/nutmegway/internal/standin/engine"
 	standinweights "github.com/nutmegway/nutmegway/internal/standin/weightstore"
 )
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -180,7 +181,7 @@
 
 // ended is the error of a request whose time is up or whose caller has left.
 func (x *exchange) ended(ctx context.Context) error {
-	if context.Cause(ctx) == context.Canceled {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return kind.New(kind.Cancelled, "the caller has left")
 	}
 	if x.attempts.mayHaveRun+x.attempts.pending == 0 {
@@ -231,7 +232,7 @@
 	a := answer{server: candidate.ID, response: response, ran: kind.RanYes}
 	if response.Header.Get(x.Dialect.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		a.ran = kind.RanNo
-		x.Inventory.Full(candidate.ID, retryAfterMin)
+		x.Inventory.Full(candidate.ID, shortestReturn)
 		return a
 	}
 	if strings.HasPrefix(response.Header.Get("Content-Type"), contentEvents) {
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -213,7 +214,7 @@
 	inv := &inventory.Inventory{}
 	for i, s := range servers {
 		inv.Set(inventory.Server{
-			Address: strings.TrimPrefix(s.URL, "http://"), ID: fmt.Sprint(i), Service: "s", Slots: 100 / (1 + 99*i), Zone: "z",
+			Address: strings.TrimPrefix(s.URL, "http://"), ID: strconv.Itoa(i), Service: "s", Slots: 100 / (1 + 99*i), Zone: "z",
 		})
 	}
 	return &forward.Forwarder{
--- a/internal/request/forward/policy.go
+++ b/internal/request/forward/policy.go
@@ -14,9 +14,9 @@
 	// may be repeated goes to a second server. An answer that starts then and
 	// takes as long as most still meets the objective.
 	hedgeShare = 0.4
-	// hedgeMin keeps routes with a very short objective from doubling each
+	// shortestHedge keeps routes with a very short objective from doubling each
 	// request.
-	hedgeMin = 20 * time.Millisecond
+	shortestHedge = 20 * time.Millisecond
 	// crossZoneCost and suspectCost are added to a server's share of used
 	// slots. A server in another zone is taken when it has about half a slot of
 	// six less in use, a suspect one only when all others are suspect or full.
@@ -25,10 +25,10 @@
 	// refusalsPerAttempt bounds the servers that are asked although others said
 	// that they are full.
 	refusalsPerAttempt = 2
-	// retryAfterMin and retryAfterSpread space the returns of refused callers,
+	// shortestReturn and returnSpread space the returns of refused callers,
 	// so that they do not come back together.
-	retryAfterMin    = 150 * time.Millisecond
-	retryAfterSpread = 250 * time.Millisecond
+	shortestReturn = 150 * time.Millisecond
+	returnSpread   = 250 * time.Millisecond
 )
 
 // attempts follows the tries of one request. It does no I/O.
@@ -105,12 +105,12 @@
 	if a.route.Repeat != config.RepeatFree || a.route.Streaming || a.route.Objective <= 0 {
 		return 0, false
 	}
-	return max(time.Duration(hedgeShare*float64(a.route.Objective)), hedgeMin), true
+	return max(time.Duration(hedgeShare*float64(a.route.Objective)), shortestHedge), true
 }
 
 // refusal is the answer when no server took the request.
 func (a *attempts) refusal() error {
-	wait := retryAfterMin + rand.N(retryAfterSpread)
+	wait := shortestReturn + rand.N(returnSpread)
 	if a.mayHaveRun > 0 {
 		return kind.New(kind.OutcomeUnknown, "%d servers were tried without an answer", a.mayHaveRun)
 	}
--- a/internal/request/idempotency/gatherer.go
+++ b/internal/request/idempotency/gatherer.go
@@ -11,9 +11,9 @@
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/base/rendezvous"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
-	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/request/idempotency/idempotencypb"
 )
 
--- a/internal/request/idempotency/gatherer_test.go
+++ b/internal/request/idempotency/gatherer_test.go
@@ -13,9 +13,9 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
+	"github.com/nutmegway/nutmegway/internal/external/etcd"
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
-	"github.com/nutmegway/nutmegway/internal/external/etcd"
 	"github.com/nutmegway/nutmegway/internal/request/idempotency"
 	standin "github.com/nutmegway/nutmegway/internal/standin/etcd"
 )
--- a/internal/request/idempotency/guard.go
+++ b/internal/request/idempotency/guard.go
@@ -11,8 +11,8 @@
 	"go.opentelemetry.io/otel"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
-	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
+	"github.com/nutmegway/nutmegway/internal/fleet/member"
 )
 
 const (
--- a/internal/request/idempotency/guard_test.go
+++ b/internal/request/idempotency/guard_test.go
@@ -13,8 +13,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
-	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/external/etcd"
+	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/request/idempotency"
 	standin "github.com/nutmegway/nutmegway/internal/standin/etcd"
 )
--- a/internal/rollout/batch/store_test.go
+++ b/internal/rollout/batch/store_test.go
@@ -19,8 +19,8 @@
 	ownerB = batch.Owner{Host: "b", Incarnation: "1"}
 )
 
-func sample(id string, items int) batch.Batch {
-	b := batch.Batch{Host: "example", ID: id, Model: "m", Target: "/r/" + id, TargetGroups: 1}
+func sample(items int) batch.Batch {
+	b := batch.Batch{Host: "example", ID: "x", Model: "m", Target: "/r/x", TargetGroups: 1}
 	for n := range items {
 		b.Items = append(b.Items, batch.Item{Body: []byte{byte(n)}, Group: "g", ID: fmt.Sprintf("i%d", n)})
 	}
@@ -54,7 +54,7 @@
 			kvStore := &kvmemory.Store{}
 			kvStore.Inject(script(c.faults))
 			store := &batch.Store{KV: kvStore}
-			head, created, err := store.Accept(t.Context(), sample("x", 3), ownerA)
+			head, created, err := store.Accept(t.Context(), sample(3), ownerA)
 			if c.wantKind != "" {
 				is.True(kind.Is(err, c.wantKind))
 				return
@@ -63,13 +63,13 @@
 			is.Equal(created, c.wantCreated)
 			is.Equal(head.Owner, ownerA)
 			kvStore.Late()
-			again, created, err := store.Accept(t.Context(), sample("x", 3), ownerB)
+			again, created, err := store.Accept(t.Context(), sample(3), ownerB)
 			is.NoErr(err)
 			is.True(!created)
 			is.Equal(again.Owner, ownerA)
 			loaded, err := store.Load(t.Context(), "x")
 			is.NoErr(err)
-			is.Equal(loaded, sample("x", 3))
+			is.Equal(loaded, sample(3))
 		})
 	}
 }
@@ -77,7 +77,7 @@
 func TestAppendIsFenced(t *testing.T) {
 	is := is.New(t)
 	store := &batch.Store{KV: &kvmemory.Store{}}
-	head, _, err := store.Accept(t.Context(), sample("x", 4), ownerA)
+	head, _, err := store.Accept(t.Context(), sample(4), ownerA)
 	is.NoErr(err)
 	head, err = store.Append(t.Context(), head, 0, results(0, 2), false)
 	is.NoErr(err)
@@ -96,7 +96,7 @@
 	kvStore := &kvmemory.Store{}
 	kvStore.Inject(script(faults))
 	store := &batch.Store{KV: kvStore}
-	head, _, err := store.Accept(t.Context(), sample("x", 2), ownerA)
+	head, _, err := store.Accept(t.Context(), sample(2), ownerA)
 	is.NoErr(err)
 	_, err = store.Append(t.Context(), head, 0, results(0, 2), true)
 	is.True(kind.Is(err, kind.StoreWriteUnknown))
@@ -111,7 +111,7 @@
 func TestEndStopsAppends(t *testing.T) {
 	is := is.New(t)
 	store := &batch.Store{KV: &kvmemory.Store{}}
-	head, _, err := store.Accept(t.Context(), sample("x", 2), ownerA)
+	head, _, err := store.Accept(t.Context(), sample(2), ownerA)
 	is.NoErr(err)
 	ended, err := store.End(t.Context(), "x")
 	is.NoErr(err)
@@ -146,7 +146,7 @@
 		total := rapid.IntRange(1, 120).Draw(t, "total")
 		kvStore := &kvmemory.Store{}
 		store := &batch.Store{KV: kvStore}
-		head, _, err := store.Accept(context.Background(), sample("x", total), ownerA)
+		head, _, err := store.Accept(context.Background(), sample(total), ownerA)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -189,7 +189,7 @@
 func TestAwaitTellsLaterResults(t *testing.T) {
 	is := is.New(t)
 	store := &batch.Store{KV: &kvmemory.Store{}}
-	head, _, err := store.Accept(t.Context(), sample("x", 5), ownerA)
+	head, _, err := store.Accept(t.Context(), sample(5), ownerA)
 	is.NoErr(err)
 	head, err = store.Append(t.Context(), head, 0, results(0, 2), false)
 	is.NoErr(err)
--- a/internal/rollout/batchrun/batchrun_test.go
+++ b/internal/rollout/batchrun/batchrun_test.go
@@ -139,23 +139,23 @@
 	return h
 }
 
-func sample(id string, items int) batch.Batch {
-	b := batch.Batch{Host: "example", ID: id, MinVersion: 1, Model: "m", Target: "/r/" + id, TargetGroups: 1}
+func sample(items int) batch.Batch {
+	b := batch.Batch{Host: "example", ID: "x", MinVersion: 1, Model: "m", Target: "/r/x", TargetGroups: 1}
 	for n := range items {
 		b.Items = append(b.Items, batch.Item{
-			Body: []byte("body"), Group: "g", ID: fmt.Sprintf("%s-i%d", id, n), Target: "/r/item",
+			Body: []byte("body"), Group: "g", ID: fmt.Sprintf("x-i%d", n), Target: "/r/item",
 		})
 	}
 	return b
 }
 
 // readAll reads a batch until all its results are there.
-func readAll(t *testing.T, s *batchrun.Service, id string) []batch.Result {
+func readAll(t *testing.T, s *batchrun.Service) []batch.Result {
 	t.Helper()
 	var all []batch.Result
 	for {
 		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
-		page, err := s.Read(ctx, id, len(all))
+		page, err := s.Read(ctx, "x", len(all))
 		cancel()
 		if err != nil {
 			t.Fatal(err)
@@ -194,9 +194,9 @@
 	store := &kvmemory.Store{}
 	engine := newEngine(t)
 	a, b := newHost(t, "a", store, engine), newHost(t, "b", store, engine)
-	is.NoErr(a.service.Submit(t.Context(), sample("x", 20)))
-	is.NoErr(b.service.Submit(t.Context(), sample("x", 20))) // sent again to another host
-	onA, onB := readAll(t, a.service, "x"), readAll(t, b.service, "x")
+	is.NoErr(a.service.Submit(t.Context(), sample(20)))
+	is.NoErr(b.service.Submit(t.Context(), sample(20))) // sent again to another host
+	onA, onB := readAll(t, a.service), readAll(t, b.service)
 	checkWhole(t, onA, 20)
 	is.Equal(onA, onB)
 	is.Equal(len(engine.requests()), 20) // each item ran once
@@ -242,8 +242,8 @@
 				return first
 			}
 			h := newHost(t, "a", &kvmemory.Store{}, broken, sound)
-			is.NoErr(h.service.Submit(t.Context(), sample("x", 4)))
-			checkWhole(t, readAll(t, h.service, "x"), 4)
+			is.NoErr(h.service.Submit(t.Context(), sample(4)))
+			checkWhole(t, readAll(t, h.service), 4)
 		})
 	}
 }
@@ -260,8 +260,8 @@
 		return true
 	}
 	h := newHost(t, "a", &kvmemory.Store{}, engine)
-	is.NoErr(h.service.Submit(t.Context(), sample("x", 2)))
-	for _, r := range readAll(t, h.service, "x") {
+	is.NoErr(h.service.Submit(t.Context(), sample(2)))
+	for _, r := range readAll(t, h.service) {
 		is.Equal(r.State, batch.StateDead)
 	}
 	runs := strings.Join(engine.requests(), " ")
@@ -285,13 +285,13 @@
 		return true
 	}
 	a, b := newHost(t, "a", store, engine), newHost(t, "b", store, engine)
-	is.NoErr(a.service.Submit(t.Context(), sample("x", 1)))
+	is.NoErr(a.service.Submit(t.Context(), sample(1)))
 	<-reached
 	for a.inventory.Candidates("s")[0].Pace == 0 {
 		time.Sleep(time.Millisecond) // until the host has read two of the events
 	}
 	a.stop()
-	checkWhole(t, readAll(t, b.service, "x"), 1)
+	checkWhole(t, readAll(t, b.service), 1)
 	requests := engine.requests()
 	is.Equal(len(requests), 2)
 	is.True(requests[1] == "x-i0@2" || requests[1] == "x-i0@3") // it goes on and does not begin anew
@@ -308,7 +308,7 @@
 		return true
 	}
 	a := newHost(t, "a", store, engine)
-	is.NoErr(a.service.Submit(t.Context(), sample("x", 1)))
+	is.NoErr(a.service.Submit(t.Context(), sample(1)))
 	store.Inject(func(string) kvmemory.Fault { return kvmemory.FaultRefused })
 	read := make(chan error)
 	var group errgroup.Group
@@ -333,7 +333,7 @@
 	logger := slog.New(slog.DiscardHandler)
 	batches := &batch.Store{KV: store, Logger: logger}
 	owner := batch.Owner{Host: "a", Incarnation: "1"}
-	head, _, err := batches.Accept(t.Context(), sample("x", 2), owner)
+	head, _, err := batches.Accept(t.Context(), sample(2), owner)
 	is.NoErr(err)
 	_, err = batches.End(t.Context(), "x")
 	is.NoErr(err)
--- a/internal/rollout/batchrun/list.go
+++ b/internal/rollout/batchrun/list.go
@@ -39,9 +39,9 @@
 const (
 	// gatherInterval is how often a wait for more results looks at its urgency.
 	gatherInterval = 20 * time.Millisecond
-	// listRetryMin and listRetryMax bound the pause after a failed write.
-	listRetryMin = 50 * time.Millisecond
-	listRetryMax = 400 * time.Millisecond
+	// listRetryFirst and listRetryLast bound the pause after a failed write.
+	listRetryFirst = 50 * time.Millisecond
+	listRetryLast  = 400 * time.Millisecond
 )
 
 // listLoop lists pending results until the run ends.
@@ -98,7 +98,7 @@
 	if len(results) == 0 {
 		return false
 	}
-	for pause := listRetryMin; ; pause = min(2*pause, listRetryMax) {
+	for pause := listRetryFirst; ; pause = min(2*pause, listRetryLast) {
 		stored, err := r.Batches.Append(ctx, head, first, results, last)
 		if err == nil {
 			return x.wasListed(stored, results)
--- a/internal/rollout/loading/giver.go
+++ b/internal/rollout/loading/giver.go
@@ -273,8 +273,29 @@
 func (g *Giver) due(service config.Service, now time.Time) (orders []Order, doubtful []inventory.Server) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var servers []inventory.Server
-	busy := make(map[string]bool)
+	servers, busy, doubtful := g.observe(service, now)
+	for rank, order := range Plan(servers, service.Models, g.named, busy) {
+		p := g.orders[order.Server.ID]
+		if due := (target{order.Model, order.Version}); p.due != due {
+			p.due, p.dueSince = due, now
+		}
+		switch {
+		case !g.rights.may(order.Server.ID, now) || now.Sub(p.dueSince) < Delay(rank, len(servers)):
+		case p.known:
+			orders = append(orders, order)
+		default:
+			doubtful = append(doubtful, order.Server)
+		}
+	}
+	return orders, doubtful
+}
+
+// observe notes which orders are carried out. It returns the engines, those
+// that are loading, and those whose order is in doubt. g.mu is held.
+func (g *Giver) observe(
+	service config.Service, now time.Time,
+) (servers []inventory.Server, busy map[string]bool, doubtful []inventory.Server) {
+	busy = make(map[string]bool)
 	for _, candidate := range g.Inventory.Candidates(service.Name) {
 		server := candidate.Server
 		server.Versions = candidate.Versions
@@ -299,20 +320,7 @@
 			doubtful = append(doubtful, server)
 		}
 	}
-	for rank, order := range Plan(servers, service.Models, g.named, busy) {
-		p := g.orders[order.Server.ID]
-		if due := (target{order.Model, order.Version}); p.due != due {
-			p.due, p.dueSince = due, now
-		}
-		switch {
-		case !g.rights.may(order.Server.ID, now) || now.Sub(p.dueSince) < Delay(rank, len(servers)):
-		case p.known:
-			orders = append(orders, order)
-		default:
-			doubtful = append(doubtful, order.Server)
-		}
-	}
-	return orders, doubtful
+	return servers, busy, doubtful
 }
 
 // give sends one order.
--- a/internal/rollout/owner/claims.go
+++ b/internal/rollout/owner/claims.go
@@ -12,9 +12,9 @@
 	"github.com/zeebo/errs"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/fleet/lease"
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
-	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/rollout/stream"
 )
 
--- a/internal/rollout/owner/service.go
+++ b/internal/rollout/owner/service.go
@@ -10,11 +10,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/fleet/document"
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/fleet/server"
-	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/request/dispatch"
 	"github.com/nutmegway/nutmegway/internal/rollout/runner"
 	"github.com/nutmegway/nutmegway/internal/rollout/schedule"
--- a/internal/rollout/placing/placing_test.go
+++ b/internal/rollout/placing/placing_test.go
@@ -1,8 +1,8 @@
 package placing_test
 
 import (
-	"fmt"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -91,7 +91,7 @@
 		if n%12 == 11 {
 			tokens = 12000
 		}
-		items = append(items, batch.Item{ID: fmt.Sprint(n), LengthHint: tokens})
+		items = append(items, batch.Item{ID: strconv.Itoa(n), LengthHint: tokens})
 	}
 	submitted := make([]int, len(items))
 	for i := range submitted {
--- a/internal/rollout/weight/exclusion.go
+++ b/internal/rollout/weight/exclusion.go
@@ -9,8 +9,8 @@
 	"strings"
 	"sync"
 
-	"github.com/nutmegway/nutmegway/internal/fleet/server"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
+	"github.com/nutmegway/nutmegway/internal/fleet/server"
 )
 
 // excludedPrefix is the prefix of the keys that name the servers which are out
--- a/internal/rollout/weight/orderer.go
+++ b/internal/rollout/weight/orderer.go
@@ -19,10 +19,10 @@
 	"github.com/nutmegway/nutmegway/internal/backend/engine"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/base/rendezvous"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/fleet/document"
 	"github.com/nutmegway/nutmegway/internal/fleet/member"
 	"github.com/nutmegway/nutmegway/internal/fleet/server"
-	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
 var tracer = otel.Tracer("nutmegway/weight")
--- a/internal/standin/kvmemory/kvmemory.go
+++ b/internal/standin/kvmemory/kvmemory.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -303,7 +304,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			if context.Cause(ctx) == context.DeadlineExceeded {
+			if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 				return batch, nil
 			}
 			return kv.Batch{}, ctx.Err()
