Serve metrics, and watch and renew less in a large fleet

Change: one reader of 40 hosts, renewals every 1.2 s above 24 hosts. Counters and histograms of requests, runs, orders and store calls at the metrics port; the HTTP library's own lines go through the log.

--- a/cmd/nutmegway/hostcmd.go
+++ b/cmd/nutmegway/hostcmd.go
@@ -3,25 +3,31 @@
 import (
 	"context"
 	"io"
+	"log"
 	"log/slog"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"go.opentelemetry.io/otel"
 
 	"github.com/nutmegway/nutmegway/internal/backend/plain"
 	"github.com/nutmegway/nutmegway/internal/base/telemetry"
 	"github.com/nutmegway/nutmegway/internal/entry/host"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/platform"
 )
 
 const (
 	// hostName is the command that handles its signals itself.
 	hostName = "host"
+	// defaultMetricsPort is the port that exporters of the library use.
+	defaultMetricsPort = "9464"
 	// logLinesPerSecond bounds the log of one process.
 	logLinesPerSecond = 400
 	// serverProbe and serverProbes let the kernel find a silent connection to a
@@ -34,6 +40,8 @@
 	cmd := app.Command(hostName, "Run a host on the users' platform until SIGTERM.\n\nExample: nutmegway host")
 	path := cmd.Flag("settings", "The platform's settings file.").Envar(platform.SettingsVariable).Required().String()
 	level := cmd.Flag("log-level", "The lowest level that is logged: debug, info, warn or error.").Default("info").String()
+	metricsPort := cmd.Flag("metrics-port", "The port at which metrics are served under /metrics; 0 serves none.").
+		Default(defaultMetricsPort).Int()
 	return command{name: cmd.FullCommand(), run: func(ctx context.Context, stdout, _ io.Writer) error {
 		settings, err := platform.LoadSettings(*path)
 		if err != nil {
@@ -43,6 +51,7 @@
 		if err := lowest.UnmarshalText([]byte(*level)); err != nil {
 			return err
 		}
+		settings.MetricsAddress = metricsAddress(settings, *metricsPort)
 		return runHost(ctx, *path, settings, lowest, stdout)
 	}}
 }
@@ -55,6 +64,9 @@
 	stopLog := out.Start()
 	defer stopLog()
 	logger := telemetry.NewLogger(out, level)
+	// The HTTP library reports what servers sent unasked to the standard logger.
+	log.SetFlags(0)
+	log.SetOutput(slog.NewLogLogger(logger.Handler(), slog.LevelInfo).Writer())
 	dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: serverProbe, Interval: serverProbe, Count: serverProbes,
 	}}
@@ -63,6 +75,11 @@
 		Dialect: platform.Dialect(), Documents: platform.Documents{}, Engines: platform.Engines{Plain: client},
 		Logger: logger, Plain: client, Settings: settings, Direct: &platform.Store{Address: settings.StoreAddress},
 	}
+	if settings.MetricsAddress != "" {
+		if err := countCalls(h); err != nil {
+			return err
+		}
+	}
 	h.SetUp()
 	callers := platform.Callers{Host: h, Logger: logger}
 	h.Callers = callers
@@ -78,6 +95,30 @@
 	return nil
 }
 
+// metricsAddress is on the address at which the host serves callers.
+func metricsAddress(settings host.Settings, port int) string {
+	ip, _, err := net.SplitHostPort(settings.CallerAddress)
+	if err != nil || port == 0 {
+		return ""
+	}
+	return net.JoinHostPort(ip, strconv.Itoa(port))
+}
+
+// countCalls serves metrics and counts the host's calls of the store.
+func countCalls(h *host.Host) error {
+	provider, handler, err := telemetry.NewMetrics()
+	if err != nil {
+		return err
+	}
+	otel.SetMeterProvider(provider)
+	counted, err := kv.NewCountedRange(h.Direct, provider.Meter("nutmegway/store"))
+	if err != nil {
+		return err
+	}
+	h.Direct, h.Metrics = counted, handler
+	return nil
+}
+
 // checkReload reads the settings file again and tells what has changed.
 func checkReload(path string, inForce host.Settings, logger *slog.Logger) {
 	changed, err := platform.LoadSettings(path)
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -86,6 +86,8 @@
 	// Direct is the key-value service as this host reaches it itself.
 	Direct kv.RangeStore
 
+	// Metrics answers at the metrics address; nil answers nothing.
+	Metrics http.Handler
 	// The handlers of the three listeners.
 	Callers   http.Handler
 	Directory http.Handler
--- a/internal/entry/host/listeners.go
+++ b/internal/entry/host/listeners.go
@@ -56,9 +56,33 @@
 			return nil
 		})
 	}
+	h.listenMetrics(ctx, group, l)
 	return l, nil
 }
 
+// listenMetrics serves metrics if it can. A host without them still serves its
+// callers.
+func (h *Host) listenMetrics(ctx context.Context, group *errgroup.Group, l *listeners) {
+	if h.Metrics == nil || h.Settings.MetricsAddress == "" {
+		return
+	}
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", h.Settings.MetricsAddress)
+	if err != nil {
+		h.Logger.LogAttrs(ctx, slog.LevelWarn, "metrics not served", slog.Any("error", err))
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", h.Metrics)
+	server := newServer(mux)
+	l.others = append(l.others, server)
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			h.Logger.LogAttrs(ctx, slog.LevelWarn, "metrics not served", slog.Any("error", err))
+		}
+		return nil
+	})
+}
+
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, IdleTimeout: idleTimeout, ReadHeaderTimeout: readHeaderTimeout,
--- a/internal/entry/host/settings.go
+++ b/internal/entry/host/settings.go
@@ -31,6 +31,8 @@
 	ID    string
 	// MaxAddressTTL bounds the time that callers keep an answer with addresses.
 	MaxAddressTTL time.Duration
+	// MetricsAddress is where metrics are read; empty serves none.
+	MetricsAddress string
 	// OrderSpacing is the least time between orders of two hosts to one engine.
 	OrderSpacing time.Duration
 	// PeerAddress is where other hosts connect; empty leaves the store as the
@@ -54,7 +56,7 @@
 		mistakes = append(mistakes, classError.New("a duration is negative"))
 	}
 	addresses := map[string]string{
-		"callers": s.CallerAddress, "directory": s.DirectoryAddress, "peers": s.PeerAddress, "ready": s.ReadyAddress,
+		"callers": s.CallerAddress, "directory": s.DirectoryAddress, "metrics": s.MetricsAddress, "peers": s.PeerAddress, "ready": s.ReadyAddress,
 	}
 	for name, address := range addresses {
 		if err := checkAddress(address); address != "" && err != nil {
@@ -80,6 +82,7 @@
 		{"grace", s.Grace != other.Grace},
 		{"id", s.ID != other.ID},
 		{"max-address-ttl", s.MaxAddressTTL != other.MaxAddressTTL},
+		{"metrics-address", s.MetricsAddress != other.MetricsAddress},
 		{"order-spacing", s.OrderSpacing != other.OrderSpacing},
 		{"peer-address", s.PeerAddress != other.PeerAddress},
 		{"ready-address", s.ReadyAddress != other.ReadyAddress},
--- a/internal/external/kv/counted.go
+++ b/internal/external/kv/counted.go
@@ -104,3 +104,26 @@
 	c.calls.Add(ctx, 1, metric.WithAttributes(byMethod, attribute.String("outcome", outcome)))
 	c.seconds.Record(ctx, time.Since(start).Seconds(), metric.WithAttributes(byMethod))
 }
+
+// CountedRange counts the calls of a RangeStore. Use NewCountedRange.
+type CountedRange struct {
+	Counted
+
+	ranges RangeStore
+}
+
+var _ RangeStore = CountedRange{}
+
+// NewCountedRange returns a store that counts its calls with instruments of meter.
+func NewCountedRange(store RangeStore, meter metric.Meter) (CountedRange, error) {
+	counted, err := NewCounted(store, meter)
+	return CountedRange{Counted: counted, ranges: store}, err
+}
+
+// ListAfter implements RangeStore.
+func (c CountedRange) ListAfter(ctx context.Context, prefix, after string) ([]Entry, int64, error) {
+	start := time.Now()
+	entries, revision, err := c.ranges.ListAfter(ctx, prefix, after)
+	c.count(ctx, "list", start, err)
+	return entries, revision, err
+}
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -23,7 +23,7 @@
 const (
 	// hostsPerReader is how many hosts share one that watches the store. A
 	// reader answers each of them three times in a wait.
-	hostsPerReader = 24
+	hostsPerReader = 40
 	minReaders     = 2
 	// Wait is how long one call waits for news.
 	Wait = 1500 * time.Millisecond
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -33,7 +33,11 @@
 	leaseTTL = 2500 * time.Millisecond
 	// renewInterval leaves room for two lost renewals.
 	renewInterval = 700 * time.Millisecond
-	retryInterval = 200 * time.Millisecond
+	// In a fleet of more than largeFleet hosts the renewals are most of the calls
+	// of the service; the longer interval leaves room for one that is lost.
+	largeFleet         = 24
+	largeRenewInterval = 1200 * time.Millisecond
+	retryInterval      = 200 * time.Millisecond
 )
 
 // Host is one entry host.
@@ -74,7 +78,7 @@
 	r.wakeChannel()
 	r.mu.Unlock()
 	for ctx.Err() == nil {
-		wait := renewInterval
+		wait := r.interval()
 		if err := r.renew(ctx); err != nil {
 			if !mirror.IsLost(err) {
 				r.Logger.LogAttrs(ctx, slog.LevelWarn, "host entry not renewed", slog.Any("error", err))
@@ -86,6 +90,14 @@
 	return nil
 }
 
+// interval returns the time between two renewals.
+func (r *Roster) interval() time.Duration {
+	if len(r.Listed()) > largeFleet {
+		return largeRenewInterval
+	}
+	return renewInterval
+}
+
 // Leave tells the others that this host takes no new requests.
 func (r *Roster) Leave() {
 	r.mu.Lock()
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -57,6 +58,9 @@
 	Logger    *slog.Logger
 	// Zone is the availability zone of this host.
 	Zone string
+
+	metrics instruments
+	once    sync.Once
 }
 
 // answer is the outcome of one try at one server.
@@ -80,6 +84,7 @@
 // Serve answers the request by a server of the route, or returns an error with
 // a kind when nothing was written to w.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, request Request, route config.Route) error {
+	f.once.Do(func() { f.metrics = newInstruments(f.Logger) })
 	budget := defaultBudget
 	if request.Budget > 0 {
 		budget = request.Budget
@@ -103,6 +108,7 @@
 		_ = group.Wait()
 	}()
 	if err != nil {
+		f.metrics.count(ctx, string(kind.Of(err).Kind), time.Since(request.Arrived))
 		f.Logger.LogAttrs(ctx, slog.LevelInfo, "request not served", slog.String("request-id", request.ID),
 			slog.String("route", route.Name), slog.String("service", x.service),
 			slog.Int("may-have-run", x.attempts.mayHaveRun), slog.Int("not-run", x.attempts.notRun),
@@ -110,6 +116,7 @@
 		return err
 	}
 	defer final.close()
+	f.metrics.count(ctx, "answered", time.Since(request.Arrived))
 	pass(w, final)
 	return nil
 }
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -179,6 +179,7 @@
 		return x.onEvent(s, engine.ID, service, &tracker, event)
 	})
 	r.Inventory.Finished(engine.ID)
+	r.metrics.count(outcome, time.Since(began))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x.streams--
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -49,6 +49,7 @@
 	mu       sync.Mutex
 	draining bool
 	group    *errgroup.Group
+	metrics  instruments
 	runs     map[string]*run
 	// typical is the median pace of each service's engines.
 	typical map[string]time.Duration
@@ -60,6 +61,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.group = group
+	r.metrics = newInstruments(r.Logger)
 	r.runs = make(map[string]*run)
 	r.typical = make(map[string]time.Duration)
 	r.wake = make(chan struct{}, 1)
--- a/internal/rollout/loading/giver.go
+++ b/internal/rollout/loading/giver.go
@@ -6,6 +6,9 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
@@ -95,6 +98,7 @@
 	Spacing time.Duration
 
 	mu     sync.Mutex
+	given  metric.Int64Counter
 	named  map[string]int64
 	orders map[string]*progress
 	rights rights
@@ -148,6 +152,7 @@
 func (g *Giver) Run(ctx context.Context) error {
 	g.mu.Lock()
 	g.orders = make(map[string]*progress)
+	g.given = newCounter(g.Logger)
 	g.rights.self, g.rights.spacing = g.Self, g.Spacing+orderSlack
 	g.mu.Unlock()
 	ticker := time.NewTicker(roundInterval)
@@ -343,6 +348,9 @@
 		// Asked at the next round.
 		p.sent = p.sent.Add(-doubtTimeout)
 	}
+	if g.given != nil {
+		g.given.Add(ctx, 1, metric.WithAttributes(attribute.String("verdict", string(verdict))))
+	}
 	g.Logger.LogAttrs(ctx, slog.LevelInfo, "load ordered", slog.String("server", order.Server.ID),
 		slog.String("model", order.Model), slog.Int64("version", order.Version), slog.Int64("expected", expected),
 		slog.Int64("fence", fence), slog.String("verdict", string(verdict)), slog.Any("error", err))
@@ -369,6 +377,16 @@
 		slog.Bool("busy", status.Busy), slog.Int64("orders", status.Orders), slog.Any("versions", status.Versions))
 }
 
+func newCounter(logger *slog.Logger) metric.Int64Counter {
+	counter, err := otel.Meter("nutmegway/loading").Int64Counter("nutmegway.loading.orders",
+		metric.WithDescription("Orders to model engines by verdict; an empty one is an answer that was lost."))
+	if err != nil {
+		logger.Error("metric not made", slog.Any("error", err))
+		return nil
+	}
+	return counter
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
