Keep the texts of long runs in the store, for hosts that are killed

Change: from 40 events on the texts are saved every 1.5 s. Who takes a batch over goes on with them only if the owner's streams are certainly closed, that is if it gave the batch up or came back as another incarnation.

--- a/internal/rollout/batchrun/batchrun_test.go
+++ b/internal/rollout/batchrun/batchrun_test.go
@@ -297,6 +297,36 @@
 	is.True(requests[1] == "x-i0@2" || requests[1] == "x-i0@3") // it goes on and does not begin anew
 }
 
+// TestOnlyClosedStreamsGoOn has kept texts of a batch whose owner before was
+// killed and came back, or is only silent: in the second case its streams may be
+// open still, so the item begins anew.
+func TestOnlyClosedStreamsGoOn(t *testing.T) {
+	cases := map[string]struct {
+		owner batch.Owner
+		want  string
+	}{
+		"given up":       {batch.Owner{}, "x-i0@2"},
+		"came back":      {batch.Owner{Host: "a", Incarnation: "0"}, "x-i0@2"},
+		"no longer seen": {batch.Owner{Host: "b", Incarnation: "1"}, "x-i0@"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store := &kvmemory.Store{}
+			engine := newEngine(t)
+			batches := &batch.Store{KV: store}
+			_, _, err := batches.Accept(t.Context(), sample(1), c.owner)
+			is.NoErr(err)
+			is.NoErr(batches.SavePartials(t.Context(), "x", []batch.Partial{
+				{Events: []string{"x-i0-1", "x-i0-2"}, Item: "x-i0", LastEvent: "2", Versions: []int64{1}},
+			}))
+			a := newHost(t, "a", store, engine)
+			checkWhole(t, readAll(t, a.service), 1)
+			is.Equal(engine.requests(), []string{c.want})
+		})
+	}
+}
+
 // TestReaderOfAHandedOverBatch is the load that kept a host busy without end: a
 // reader waits at a host that is leaving while the store can't be reached.
 func TestReaderOfAHandedOverBatch(t *testing.T) {
--- a/internal/rollout/batchrun/list.go
+++ b/internal/rollout/batchrun/list.go
@@ -10,6 +10,7 @@
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
+	"github.com/nutmegway/nutmegway/internal/rollout/placing"
 )
 
 // urgency is how soon pending results are worth a write.
@@ -160,6 +161,46 @@
 	return more
 }
 
+// saveInterval is how often the texts of long runs are kept for the host that
+// goes on if this one is killed. A long item takes seven seconds to make again.
+const saveInterval = 1500 * time.Millisecond
+
+// saveLoop keeps the texts of long runs until the run ends.
+func (x *run) saveLoop() {
+	ticker := time.NewTicker(saveInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-x.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		partials := x.partials(placing.LongEvents)
+		if len(partials) == 0 {
+			continue
+		}
+		if err := x.runner.Batches.SavePartials(x.ctx, x.batch.ID, partials); err != nil && x.ctx.Err() == nil {
+			x.runner.Logger.LogAttrs(x.ctx, slog.LevelInfo, "texts of long runs not kept",
+				slog.String("batch", x.batch.ID), slog.Int("items", len(partials)), slog.Any("error", err))
+		}
+	}
+}
+
+// partials returns the texts of unfinished items with at least so many events.
+func (x *run) partials(events int) []batch.Partial {
+	x.runner.mu.Lock()
+	defer x.runner.mu.Unlock()
+	var partials []batch.Partial
+	for _, s := range x.items {
+		if !s.done && len(s.events) >= events {
+			partials = append(partials, batch.Partial{
+				Events: slices.Clone(s.events), Item: s.item.ID, LastEvent: s.last, Versions: slices.Clone(s.versions),
+			})
+		}
+	}
+	return partials
+}
+
 // handOver stops the run and lets another host go on with it.
 func (x *run) handOver(ctx context.Context) {
 	r := x.runner
@@ -171,19 +212,11 @@
 	}
 	r.mu.Lock()
 	head := x.head
-	var partials []batch.Partial
-	for _, s := range x.items {
-		if !s.done && len(s.events) > 0 {
-			partials = append(partials, batch.Partial{
-				Events: s.events, Item: s.item.ID, LastEvent: s.last, Versions: s.versions,
-			})
-		}
-	}
 	r.mu.Unlock()
 	if head.Done {
 		return
 	}
-	if err := r.Batches.SavePartials(ctx, head.ID, partials); err != nil {
+	if err := r.Batches.SavePartials(ctx, head.ID, x.partials(1)); err != nil {
 		r.Logger.LogAttrs(ctx, slog.LevelWarn, "partial texts not kept", slog.String("batch", head.ID), slog.Any("error", err))
 	}
 	released, err := r.Batches.Claim(ctx, head, batch.Owner{})
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -100,7 +100,8 @@
 		}
 	}
 	for _, p := range partials {
-		if i, ok := x.byID[p.Item]; ok && !x.items[i].done {
+		// A key of an earlier save may hold a shorter text of the same item.
+		if i, ok := x.byID[p.Item]; ok && !x.items[i].done && len(p.Events) > len(x.items[i].events) {
 			x.items[i].events, x.items[i].last, x.items[i].versions = p.Events, p.LastEvent, p.Versions
 		}
 	}
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -115,6 +115,10 @@
 		x.listLoop()
 		return nil
 	})
+	r.group.Go(func() error {
+		x.saveLoop()
+		return nil
+	})
 	r.wakeUp()
 }
 
--- a/internal/rollout/batchrun/service.go
+++ b/internal/rollout/batchrun/service.go
@@ -9,7 +9,6 @@
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/base/rendezvous"
-	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
 	"github.com/nutmegway/nutmegway/internal/fleet/roster"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
 )
@@ -364,11 +363,21 @@
 		s.Logger.LogAttrs(ctx, slog.LevelWarn, "results not loaded", slog.String("batch", head.ID), slog.Any("error", err))
 		return
 	}
+	s.adopt(ctx, claimed, b, listed, s.partials(ctx, head))
+}
+
+// partials reads the texts that the owner before has kept, if its streams are
+// certainly closed: an item must not go on while another host still reads it.
+func (s *Service) partials(ctx context.Context, head batch.Head) []batch.Partial {
+	givenUp := head.Owner == batch.Owner{}
+	if !givenUp && !s.returned(head.Owner) {
+		return nil
+	}
 	partials, err := s.Batches.Partials(ctx, head.ID)
-	if err != nil && !mirror.IsLost(err) {
+	if err != nil {
 		s.Logger.LogAttrs(ctx, slog.LevelWarn, "partial texts not loaded", slog.String("batch", head.ID), slog.Any("error", err))
 	}
-	s.adopt(ctx, claimed, b, listed, partials)
+	return partials
 }
 
 // adopt runs a batch, unless it was ended or claimed while it was loaded.
--- a/internal/rollout/placing/placing.go
+++ b/internal/rollout/placing/placing.go
@@ -31,9 +31,9 @@
 	// slowEvents is how many intervals such a run waits, so that one pause moves
 	// nothing.
 	slowEvents = 3
-	// longEvents is from how many events on a run is likely to be one of the few
+	// LongEvents is from how many events on a run is likely to be one of the few
 	// that last many times as long as most. It moves for a smaller gain.
-	longEvents = 40
+	LongEvents = 40
 	longRatio  = 1.12
 	// avoidCost is the factor by which the engine on which an item failed last
 	// counts as slower.
@@ -125,7 +125,7 @@
 	if typical <= 0 || run.Intervals < slowEvents {
 		return false
 	}
-	return exceeds(run.Pace, slowRatio, typical) || run.Events >= longEvents && exceeds(run.Pace, longRatio, typical)
+	return exceeds(run.Pace, slowRatio, typical) || run.Events >= LongEvents && exceeds(run.Pace, longRatio, typical)
 }
 
 // HasFaster reports whether an engine with a free slot is known to be faster
