Tell the story of a request over the logs of several hosts

nutmegway explain prints the lines that name an id, those of its batch, and what happened around them to the servers, hosts and store.

--- a/cmd/nutmegway/commands.go
+++ b/cmd/nutmegway/commands.go
@@ -32,6 +32,7 @@
 	addCertificate,
 	addDatagramKey,
 	addErrors,
+	addExplain,
 	addHost,
 	addQuickstart,
 	addServe,
--- /dev/null
+++ b/cmd/nutmegway/explaincmd.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/nutmegway/nutmegway/internal/base/kind"
+	"github.com/nutmegway/nutmegway/internal/base/logline"
+)
+
+func addExplain(app *kingpin.Application) command {
+	cmd := app.Command("explain", "Print the story of one request over the logs of several hosts.\n\nExample: nutmegway explain --id 9c41d07be2a35f68 host-*.log")
+	id := cmd.Flag("id", "The id of a request, an item or a batch.").Required().String()
+	files := cmd.Arg("file", "The logs, one for each host.").Required().Strings()
+	return command{name: cmd.FullCommand(), run: func(_ context.Context, stdout, _ io.Writer) error {
+		return explain(stdout, *id, *files)
+	}}
+}
+
+func explain(w io.Writer, id string, files []string) error {
+	var lines []logline.Line
+	for _, path := range files {
+		read, err := readLog(path)
+		if err != nil {
+			return kind.Wrap(kind.BadRequest, err)
+		}
+		lines = append(lines, read...)
+	}
+	story := logline.Story(lines, id)
+	if len(story) == 0 {
+		return kind.New(kind.NotFound, "no line of %d files names %q", len(files), id)
+	}
+	for _, line := range story {
+		fmt.Fprintln(w, line)
+	}
+	return nil
+}
+
+func readLog(path string) ([]logline.Line, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = file.Close() }()
+	return logline.Read(path, file)
+}
