Give an engine that fails a run nothing new for a while

Change: a failed run counts as a failure of the engine as a broken one does. TestFailingEnginesDoNotKillItems fails before and passes after.

--- a/internal/rollout/batchrun/batchrun_test.go
+++ b/internal/rollout/batchrun/batchrun_test.go
@@ -248,6 +248,21 @@
 	}
 }
 
+// TestFailingEnginesDoNotKillItems has two engines that fail each run at once,
+// and so are always the emptiest, beside a sound one.
+func TestFailingEnginesDoNotKillItems(t *testing.T) {
+	is := is.New(t)
+	fails := func(w http.ResponseWriter, _ *http.Request) bool {
+		w.WriteHeader(http.StatusInternalServerError)
+		return true
+	}
+	a, b, sound := newEngine(t), newEngine(t), newEngine(t)
+	a.handle, b.handle = fails, fails
+	h := newHost(t, "a", &kvmemory.Store{}, a, b, sound)
+	is.NoErr(h.service.Submit(t.Context(), sample(12)))
+	checkWhole(t, readAll(t, h.service), 12)
+}
+
 func TestItemDiesOnlyAfterItsAttempts(t *testing.T) {
 	is := is.New(t)
 	engine := newEngine(t)
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -268,6 +268,8 @@
 	case generation.OutcomeFailed:
 		s.failures++
 		s.avoid = engine.ID
+		// An engine that fails at once is the emptiest and would draw all items.
+		inv.Failed(engine.ID)
 		if s.failures >= max(route.MaxAttempts, 1) {
 			x.finish(s, batch.Result{Item: s.item.ID, State: batch.StateDead})
 		}
