Keep one copy of waits and of the test for a store that is away; remove old batches

Cause: four packages had a sleep of their own, mirror and kvrelay the same test of errors, and settings were read that nothing used: results were kept for good. Change: internal/base/wait, kv.IsAway; the first host by rendezvous removes a batch a minute after the time for which its results are read; header names of the platform stand once in its dialect; unused fields are gone.

--- a/internal/backend/dialect/dialect.go
+++ b/internal/backend/dialect/dialect.go
@@ -8,8 +8,6 @@
 	BudgetMillis string
 	// ExpectServer carries the id of the only server that may run the request.
 	ExpectServer string
-	// ExpectVersion carries the only weight version that may run the request.
-	ExpectVersion string
 	// Load is an answer's count of running and waiting requests and slots,
 	// separated by commas.
 	Load string
--- a/internal/backend/inventory/inventory.go
+++ b/internal/backend/inventory/inventory.go
@@ -21,8 +21,6 @@
 // Server is what the platform says of one backend server.
 type Server struct {
 	Address string
-	// Busy is true while the server carries out an order.
-	Busy bool
 	// Draining servers finish what they have and get nothing new.
 	Draining bool
 	ID       string
--- a/internal/base/logline/logline.go
+++ b/internal/base/logline/logline.go
@@ -61,7 +61,7 @@
 		if !ok {
 			return Line{}, false
 		}
-		value, left := after, ""
+		var value, left string
 		if quoted, err := strconv.QuotedPrefix(after); err == nil {
 			left = strings.TrimPrefix(after[len(quoted):], " ")
 			if value, err = strconv.Unquote(quoted); err != nil {
--- a/internal/base/telemetry/bounded_test.go
+++ b/internal/base/telemetry/bounded_test.go
@@ -42,7 +42,7 @@
 	return len(p), nil
 }
 
-func TestBoundedWriterNeverBlocks(t *testing.T) {
+func TestBoundedWriterNeverBlocks(*testing.T) {
 	s := stuck{release: make(chan struct{})}
 	w := &telemetry.BoundedWriter{LinesPerSecond: 1 << 30, Writer: s}
 	stop := w.Start()
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -134,7 +134,7 @@
 			Peer: h.Settings.PeerAddress, Zone: h.Settings.Zone,
 		},
 	}
-	batches := &batch.Store{KV: h.store, Logger: h.Logger}
+	batches := &batch.Store{KV: h.store}
 	h.runner = &batchrun.Runner{
 		Batches: batches, Config: h.config.Load, Inventory: h.inventory, Logger: h.Logger,
 		Generation: &generation.Client{Dialect: h.Dialect, Logger: h.Logger, Plain: h.Plain},
@@ -142,7 +142,7 @@
 	}
 	h.Batches = &batchrun.Service{
 		Batches: batches, Index: &batch.Index{Logger: h.Logger, OnHead: h.runner.Observe},
-		Logger: h.Logger, Roster: h.roster, Runner: h.runner,
+		Keep: h.Settings.ResultRetention, Logger: h.Logger, Roster: h.roster, Runner: h.runner,
 	}
 	if h.Settings.PeerAddress != "" {
 		h.Batches.Link = &batchlink.Client{Pool: h.peers}
--- a/internal/external/kv/kv.go
+++ b/internal/external/kv/kv.go
@@ -107,6 +107,12 @@
 	Watch(ctx context.Context, prefix string, revision int64) (Watcher, error)
 }
 
+// IsAway reports whether err says nothing of what the service holds, so that the
+// call is worth repeating.
+func IsAway(err error) bool {
+	return kind.Is(err, kind.StoreUnavailable) || kind.Is(err, kind.StoreWriteUnknown)
+}
+
 // RangeStore is a Store that lists a part of a prefix, which lets a reader
 // continue where it stopped.
 type RangeStore interface {
--- a/internal/external/kvrelay/kvrelay.go
+++ b/internal/external/kvrelay/kvrelay.go
@@ -82,7 +82,7 @@
 	}
 	for _, address := range s.peers() {
 		err = s.relay(ctx, address, relayed, lost, timeout)
-		if err == nil || !isAway(err) {
+		if err == nil || !kv.IsAway(err) {
 			s.noteRelay(address)
 			return err
 		}
@@ -111,11 +111,6 @@
 	return failureFromPB(failure)
 }
 
-// isAway reports whether err says nothing of what the service holds.
-func isAway(err error) bool {
-	return kind.Is(err, kind.StoreUnavailable) || kind.Is(err, kind.StoreWriteUnknown)
-}
-
 func (s *Store) isDirect() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -125,7 +120,7 @@
 func (s *Store) noteDirect(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err != nil && isAway(err) {
+	if err != nil && kv.IsAway(err) {
 		if s.until.IsZero() {
 			s.Logger.Warn("store away, other hosts are asked", slog.Any("error", err))
 		}
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -7,14 +7,13 @@
 	"errors"
 	"log/slog"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/nutmegway/nutmegway/internal/base/kind"
+	"github.com/nutmegway/nutmegway/internal/base/wait"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
 
@@ -142,7 +141,7 @@
 			lostSince = time.Now()
 			m.Logger.LogAttrs(ctx, slog.LevelWarn, "store lost", slog.String("prefix", m.Prefix), slog.Any("error", err))
 		}
-		sleep(ctx, pause/2+rand.N(pause/2))
+		wait.For(ctx, wait.Jittered(pause))
 		pause = min(2*pause, retryMax)
 	}
 	return nil
@@ -171,7 +170,7 @@
 	m.apply(batch.Events, batch.Revision, outageSince(lostSince))
 	m.confirm()
 	if len(batch.Events) > 0 && m.Gather > 0 {
-		sleep(ctx, m.Gather)
+		wait.For(ctx, m.Gather)
 	}
 	return watcher, nil
 }
@@ -202,7 +201,7 @@
 	}
 	m.apply(events, news.Revision, outageSince(lostSince))
 	if len(events) > 0 && m.Gather > 0 {
-		sleep(ctx, m.Gather)
+		wait.For(ctx, m.Gather)
 	}
 	return true
 }
@@ -363,18 +362,3 @@
 	entry, ok := m.known[key]
 	return entry, ok
 }
-
-// IsLost reports whether err leaves open what the service holds, so that the
-// call is worth repeating.
-func IsLost(err error) bool {
-	return kind.Is(err, kind.StoreUnavailable) || kind.Is(err, kind.StoreWriteUnknown)
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -80,7 +80,7 @@
 	for ctx.Err() == nil {
 		wait := r.interval()
 		if err := r.renew(ctx); err != nil {
-			if !mirror.IsLost(err) {
+			if !kv.IsAway(err) {
 				r.Logger.LogAttrs(ctx, slog.LevelWarn, "host entry not renewed", slog.Any("error", err))
 			}
 			wait = retryInterval
--- a/internal/rollout/batch/index.go
+++ b/internal/rollout/batch/index.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
 )
@@ -65,6 +66,20 @@
 	return head, ok
 }
 
+// Older returns the heads of batches that were submitted before a time and whose
+// items no longer run.
+func (x *Index) Older(than time.Time) []Head {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var old []Head
+	for _, head := range x.heads {
+		if !head.IsOpen() && head.Submitted().Before(than) {
+			old = append(old, head)
+		}
+	}
+	return old
+}
+
 // Open returns the heads of batches whose items still run.
 func (x *Index) Open() []Head {
 	x.mu.Lock()
--- a/internal/rollout/batch/store.go
+++ b/internal/rollout/batch/store.go
@@ -5,12 +5,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"log/slog"
-	"math/rand/v2"
 	"strings"
 	"time"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
+	"github.com/nutmegway/nutmegway/internal/base/wait"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
 )
@@ -52,8 +51,7 @@
 // Store keeps batches in the key-value service. Its fields are set before the
 // first call.
 type Store struct {
-	KV     kv.RangeStore
-	Logger *slog.Logger
+	KV kv.RangeStore
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -131,7 +129,7 @@
 		if !kind.Is(err, kind.StoreUnavailable) && !kind.Is(err, kind.StoreWriteUnknown) {
 			return kv.TxnResult{}, err
 		}
-		if !wait(ctx, pause/2+rand.N(pause/2)) {
+		if !wait.Within(ctx, wait.Jittered(pause)) {
 			if unknown {
 				return kv.TxnResult{}, kind.New(kind.StoreWriteUnknown, "the write may have landed: %v", err)
 			}
@@ -280,7 +278,7 @@
 		if err == nil || !kind.Is(err, kind.Conflict) && !kind.Is(err, kind.StoreWriteUnknown) {
 			return ended, err
 		}
-		if !wait(ctx, retryFirst) {
+		if !wait.Within(ctx, retryFirst) {
 			return head, err
 		}
 	}
@@ -317,6 +315,31 @@
 	return stored, kind.New(kind.Conflict, "the batch %s has changed", head.ID)
 }
 
+// Remove forgets a batch that nobody reads any more. Its head goes last, so that
+// a removal that breaks off is tried again.
+func (s *Store) Remove(ctx context.Context, head Head) error {
+	for _, prefix := range []string{itemsPrefix, partialPrefix, resultsPrefix} {
+		entries, _, err := s.KV.ListAfter(ctx, prefix+head.ID+"/", "")
+		if err != nil {
+			return err
+		}
+		for start := 0; start < len(entries); start += maxPieces {
+			var txn kv.Txn
+			for _, entry := range entries[start:min(start+maxPieces, len(entries))] {
+				txn.Writes = append(txn.Writes, kv.Write{Delete: true, Key: entry.Key})
+			}
+			if _, err := s.settle(ctx, txn, acceptTimeout); err != nil {
+				return err
+			}
+		}
+	}
+	_, err := s.settle(ctx, kv.Txn{
+		Conditions: []kv.Condition{{Key: headKey(head.ID), ModRevision: head.Revision}},
+		Writes:     []kv.Write{{Delete: true, Key: headKey(head.ID)}},
+	}, acceptTimeout)
+	return err
+}
+
 // Results reads the results from position after on, and the revision from
 // which a watch tells of later ones.
 func (s *Store) Results(ctx context.Context, id string, after int) ([]Result, int64, error) {
@@ -404,28 +427,12 @@
 		if err == nil || !kind.Is(err, kind.StoreUnavailable) {
 			return value, err
 		}
-		if !wait(ctx, pause/2+rand.N(pause/2)) {
+		if !wait.Within(ctx, wait.Jittered(pause)) {
 			return value, err
 		}
 	}
 }
 
-// wait reports whether d passed before ctx ended. It does not begin a wait that
-// would outlast ctx.
-func wait(ctx context.Context, d time.Duration) bool {
-	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < d {
-		return false
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func split(data []byte, size int) [][]byte {
 	var pieces [][]byte
 	for len(data) > size {
--- a/internal/rollout/batch/store_test.go
+++ b/internal/rollout/batch/store_test.go
@@ -231,3 +231,18 @@
 	}
 	return faults
 }
+
+func TestRemove(t *testing.T) {
+	is := is.New(t)
+	kvStore := &kvmemory.Store{}
+	store := &batch.Store{KV: kvStore}
+	head, _, err := store.Accept(t.Context(), sample(40), ownerA)
+	is.NoErr(err)
+	head, err = store.Append(t.Context(), head, 0, results(0, 40), true)
+	is.NoErr(err)
+	is.NoErr(store.SavePartials(t.Context(), "x", []batch.Partial{{Events: []string{"a"}, Item: "i0"}}))
+	is.NoErr(store.Remove(t.Context(), head))
+	entries, _, err := kvStore.List(t.Context(), "nutmegway/")
+	is.NoErr(err)
+	is.Equal(len(entries), 0)
+}
--- a/internal/rollout/batchrun/batchrun_test.go
+++ b/internal/rollout/batchrun/batchrun_test.go
@@ -106,7 +106,7 @@
 		Host: "example", ItemLimit: time.Hour, MaxAttempts: 3, Prefix: "/r/", Repeat: config.RepeatBatch,
 		Targets: []config.Target{{Service: "s", Weight: 1}},
 	}}}
-	batches := &batch.Store{KV: store, Logger: logger}
+	batches := &batch.Store{KV: store}
 	runner := &batchrun.Runner{
 		Batches: batches, Config: func() *config.Config { return c }, Inventory: inv, Logger: logger,
 		Generation: &generation.Client{Dialect: headers, Logger: logger, Plain: &plain.Client{}},
@@ -376,7 +376,7 @@
 	store := &kvmemory.Store{}
 	engine := newEngine(t)
 	logger := slog.New(slog.DiscardHandler)
-	batches := &batch.Store{KV: store, Logger: logger}
+	batches := &batch.Store{KV: store}
 	owner := batch.Owner{Host: "a", Incarnation: "1"}
 	head, _, err := batches.Accept(t.Context(), sample(2), owner)
 	is.NoErr(err)
--- a/internal/rollout/batchrun/list.go
+++ b/internal/rollout/batchrun/list.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
-	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
+	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
 	"github.com/nutmegway/nutmegway/internal/rollout/placing"
 )
@@ -107,7 +107,7 @@
 		if kind.Is(err, kind.Conflict) {
 			return x.wasRefused(head, stored)
 		}
-		if !mirror.IsLost(err) {
+		if !kv.IsAway(err) {
 			r.Logger.LogAttrs(ctx, slog.LevelError, "results not listed", slog.String("batch", head.ID), slog.Any("error", err))
 		}
 		timer := time.NewTimer(pause/2 + rand.N(pause))
--- a/internal/rollout/batchrun/service.go
+++ b/internal/rollout/batchrun/service.go
@@ -16,6 +16,9 @@
 const (
 	// sweepInterval is how often batches without a live owner are looked for.
 	sweepInterval = 300 * time.Millisecond
+	// keepMargin is added to the time for which results are kept, for readers and
+	// clocks that are late.
+	keepMargin = time.Minute
 	// ownDelay is how long a host waits for the handover of a batch that was
 	// stored in its name before it reads the batch from the store.
 	ownDelay = 600 * time.Millisecond
@@ -45,6 +48,8 @@
 type Service struct {
 	Batches *batch.Store
 	Index   *batch.Index
+	// Keep is how long a batch is read after its submission; zero keeps it for good.
+	Keep time.Duration
 	// Link reaches other hosts; nil leaves the store as the only way.
 	Link   Link
 	Logger *slog.Logger
@@ -232,7 +237,9 @@
 	defer ticker.Stop()
 	s.orphaned = make(map[string]time.Time)
 	for ctx.Err() == nil {
-		s.sweep(ctx, time.Now())
+		now := time.Now()
+		s.sweep(ctx, now)
+		s.forget(ctx, now)
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
@@ -276,6 +283,20 @@
 	}
 }
 
+// forget removes old batches that fall to this host.
+func (s *Service) forget(ctx context.Context, now time.Time) {
+	if s.Keep == 0 {
+		return
+	}
+	for _, head := range s.Index.Older(now.Add(-s.Keep - keepMargin)) {
+		if rendezvous.Owner(head.ID, roster.IDs(s.Roster.Hosts())) != s.Runner.Self.Host {
+			continue
+		}
+		err := s.Batches.Remove(ctx, head)
+		s.Logger.LogAttrs(ctx, slog.LevelInfo, "old batch removed", slog.String("batch", head.ID), slog.Any("error", err))
+	}
+}
+
 // successor reports whether this host takes the batch if its owner is gone. All
 // hosts that see the same list choose the same one.
 func (s *Service) successor(head batch.Head) bool {
--- a/internal/rollout/loading/giver.go
+++ b/internal/rollout/loading/giver.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
+	"github.com/nutmegway/nutmegway/internal/base/wait"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
 )
 
@@ -164,7 +165,7 @@
 		case <-ctx.Done():
 		case <-changed:
 			// Several changes of the same moment make one round.
-			sleep(ctx, roundInterval/10)
+			wait.For(ctx, roundInterval/10)
 		case <-ticker.C:
 		}
 	}
@@ -386,12 +387,3 @@
 	}
 	return counter
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
