--- a/internal/rollout/batch/partial.go
+++ b/internal/rollout/batch/partial.go
@@ -47,7 +47,7 @@
 	if len(writes) == 0 {
 		return nil
 	}
-	_, err := s.settle(ctx, kv.Txn{Writes: writes}, acceptTimeout)
+	_, err := s.settle(ctx, kv.Txn{Writes: writes})
 	return err
 }
 
--- a/internal/rollout/batch/store.go
+++ b/internal/rollout/batch/store.go
@@ -38,7 +38,7 @@
 	// maxIDBytes keeps all keys of a batch within the 200 bytes of a key.
 	maxIDBytes = 120
 
-	// acceptTimeout bounds how long a submission is kept waiting for the
+	// acceptTimeout bounds how long a write is kept waiting for the
 	// service before the caller is told to come again.
 	acceptTimeout = 1200 * time.Millisecond
 	readTimeout   = 1500 * time.Millisecond
@@ -102,7 +102,7 @@
 	for n, piece := range pieces {
 		txn.Writes = append(txn.Writes, kv.Write{Key: pieceKey(b.ID, n), Value: piece})
 	}
-	result, err := s.settle(ctx, txn, acceptTimeout)
+	result, err := s.settle(ctx, txn)
 	if err != nil {
 		return Head{}, false, err
 	}
@@ -116,8 +116,8 @@
 
 // settle repeats a conditional transaction until the service has said what
 // became of it. Its conditions make a repeat harmless: whoever was first wins.
-func (s *Store) settle(ctx context.Context, txn kv.Txn, timeout time.Duration) (kv.TxnResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+func (s *Store) settle(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	unknown := false
 	for pause := retryFirst; ; pause = min(2*pause, retryMax) {
@@ -295,7 +295,7 @@
 	result, err := s.settle(ctx, kv.Txn{
 		Conditions: []kv.Condition{{Key: headKey(head.ID), ModRevision: head.Revision}},
 		Writes:     []kv.Write{{Key: headKey(head.ID), Value: value}},
-	}, acceptTimeout)
+	})
 	if err != nil {
 		return head, err
 	}
@@ -328,7 +328,7 @@
 			for _, entry := range entries[start:min(start+maxPieces, len(entries))] {
 				txn.Writes = append(txn.Writes, kv.Write{Delete: true, Key: entry.Key})
 			}
-			if _, err := s.settle(ctx, txn, acceptTimeout); err != nil {
+			if _, err := s.settle(ctx, txn); err != nil {
 				return err
 			}
 		}
@@ -336,7 +336,7 @@
 	_, err := s.settle(ctx, kv.Txn{
 		Conditions: []kv.Condition{{Key: headKey(head.ID), ModRevision: head.Revision}},
 		Writes:     []kv.Write{{Delete: true, Key: headKey(head.ID)}},
-	}, acceptTimeout)
+	})
 	return err
 }
 
