Measure what the library's own forwarder makes of the path

Cause: a profile of the throughput phase shows system calls, net/http's serve and transport loops and allocation; the product's own code (plainproxy) is 18% of the samples, spans and the mux 6%. The heap of idle streams is buffers and contexts of net/http, five goroutines a stream. The idle figures now start once the streams before have ended; without that the forwarder's was 1.3 KB, because the entry host's streams still ended meanwhile.

--- a/internal/lab/path/path.go
+++ b/internal/lab/path/path.go
@@ -11,6 +11,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
 	"runtime"
 	"strings"
 	"time"
@@ -20,6 +23,7 @@
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/base/refusal"
+	"github.com/nutmegway/nutmegway/internal/base/wait"
 	"github.com/nutmegway/nutmegway/internal/lab/deployment"
 	"github.com/nutmegway/nutmegway/internal/lab/load"
 	"github.com/nutmegway/nutmegway/internal/lab/report"
@@ -32,6 +36,13 @@
 	shortAnswer = 64
 )
 
+const (
+	// settleLimit is how long idle streams may take to end at every process, a
+	// cancel call included; settlePause is the time between two looks.
+	settleLimit = 5 * time.Second
+	settlePause = 10 * time.Millisecond
+)
+
 // The targets of the measure.
 const (
 	addedTarget  = 0.25
@@ -63,10 +74,12 @@
 	deployed *deployment.Deployment
 	direct   route
 	first    error
-	lost     int
-	proxied  route
-	refused  int
-	report   *report.Report
+	// forwarded goes through the standard library's proxy, which decides nothing.
+	forwarded route
+	lost      int
+	proxied   route
+	refused   int
+	report    *report.Report
 }
 
 // Run starts one entry host, one engine and one plain server, and compares the
@@ -83,11 +96,28 @@
 		r.direct = route{engine: "http://" + d.Engines[0].Address, plain: "http://" + d.Plains[0].Address}
 		entry := "http://" + d.Nodes[0].Caller
 		r.proxied = route{engine: entry, plain: entry + "/v1/plain/" + shape.PlainService}
+		engines, plains := forwarder(r.direct.engine, m.Connections+m.Streams), forwarder(r.direct.plain, m.Connections+m.Streams)
+		defer engines.Close()
+		defer plains.Close()
+		r.forwarded = route{engine: engines.URL, plain: plains.URL}
 		return r.phases(ctx)
 	})
 	return r.report, err
 }
 
+// forwarder serves what the standard library's proxy alone makes of the path to
+// address, with the same kept connections as the entry host's.
+func forwarder(address string, connections int) *httptest.Server {
+	to, err := url.Parse(address)
+	if err != nil {
+		panic(err) // The address was made above.
+	}
+	proxy := httputil.NewSingleHostReverseProxy(to)
+	proxy.FlushInterval = -1
+	proxy.Transport = &http.Transport{MaxIdleConnsPerHost: connections}
+	return httptest.NewServer(proxy)
+}
+
 func (r *run) phases(ctx context.Context) error {
 	r.latency(ctx)
 	r.throughput(ctx)
@@ -127,6 +157,8 @@
 	direct := r.lookUps(ctx, r.direct, r.Connections, r.Phase)
 	proxied := r.lookUps(ctx, r.proxied, r.Connections, r.Phase)
 	r.row(fmt.Sprintf("small-call-%d", r.Connections), direct, proxied)
+	forwarded := r.lookUps(ctx, r.forwarded, r.Connections, r.Phase)
+	r.report.Add("forwarder-throughput-ratio", forwarded.PerSecond()/direct.PerSecond())
 	ratio := proxied.PerSecond() / direct.PerSecond()
 	r.report.Add("throughput-ratio", ratio)
 	r.report.Requiref(ratio >= ratioTarget, "throughput-ratio %.3f is under %.2f", ratio, ratioTarget)
@@ -294,7 +326,12 @@
 	if err != nil {
 		return err
 	}
+	forwarded, err := r.idle(ctx, r.forwarded)
+	if err != nil {
+		return err
+	}
 	const kilobyte = 1024
+	r.report.Add("forwarder-stream-memory-kb", float64(forwarded-direct)/float64(r.Streams)/kilobyte)
 	size := float64(proxied-direct) / float64(r.Streams) / kilobyte
 	r.report.Add("stream-memory-kb", size)
 	r.report.Requiref(size <= memoryTarget, "stream-memory-kb %.1f is over %.0f", size, memoryTarget)
@@ -304,6 +341,7 @@
 // idle returns the memory that open streams take, all ends included.
 func (r *run) idle(ctx context.Context, to route) (int64, error) {
 	r.client.CloseIdleConnections()
+	goroutines := runtime.NumGoroutine()
 	before := memoryInUse()
 	r.deployed.Engines[0].Inject(engine.Fault{AfterTokens: 1, Count: r.Streams, Kind: engine.FaultHang})
 	ctx, cancel := context.WithCancel(ctx)
@@ -329,6 +367,11 @@
 			_ = response.Body.Close() // The stream is given up.
 		}
 	}
+	r.client.CloseIdleConnections()
+	// The next figure begins once these streams have ended at every process.
+	for began := time.Now(); runtime.NumGoroutine() > goroutines && time.Since(began) < settleLimit; {
+		wait.For(context.WithoutCancel(ctx), settlePause)
+	}
 	return used, err
 }
 
