Soak hosts as processes on a stand-in of the users' platform

The plan's fault soak: nutmegway-lab soak starts nutmegway host processes on a stand-in for the platform (store, engines, plain servers, operator), lets callers, trainers and readers work, and plays seeded storms of kills, pauses, planned stops, reloads, series of them, and faults of the links, the servers and the store. Planted faults: a table of records with one break each, every one caught and nothing else reported. Links between hosts have no fault proxy: a host announces the address at which it listens.

--- a/cmd/nutmegway-lab/commands.go
+++ b/cmd/nutmegway-lab/commands.go
@@ -42,6 +42,7 @@
 	addChaosCommand,
 	addFaultProxyCommand,
 	addReferenceCommand,
+	addSoakCommand,
 }
 
 // run parses args, runs the chosen command and returns the exit code.
--- /dev/null
+++ b/internal/lab/soak/fleet.go
@@ -0,0 +1,222 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegway/nutmegway/internal/entry/host"
+	"github.com/nutmegway/nutmegway/internal/lab/process"
+	"github.com/nutmegway/nutmegway/internal/standin/faultproxy"
+	"github.com/nutmegway/nutmegway/platform/platformtest"
+)
+
+const (
+	// The settings of the processes are those of the platform's sites.
+	addressTTL   = 5 * time.Second
+	grace        = 8 * time.Second
+	orderSpacing = 3 * time.Second
+	retention    = 120 * time.Second
+
+	// Each host has an address of its own on loopback, on which no other program
+	// takes ports.
+	callerPort    = 8001
+	directoryPort = 8002
+	readyPort     = 8003
+	peerPort      = 8004
+
+	engineCount = 4
+	engineSlots = 8
+	plainCount  = 3
+	plainSlots  = 16
+	eventTime   = 8 * time.Millisecond
+	loadTime    = 150 * time.Millisecond
+	workTime    = 50 * time.Millisecond
+
+	engineService = "generators"
+	plainService  = "records"
+	model         = "drafter"
+	routeHost     = "soak.example"
+	batchPrefix   = "/batches/"
+	freePrefix    = "/look-ups/"
+	neverPrefix   = "/bookings/"
+	routeTimeout  = 2 * time.Second
+)
+
+// node is a host that runs as a process of its own.
+type node struct {
+	binary   string
+	busy     sync.Mutex
+	file     string
+	link     *faultproxy.Proxy
+	log      io.Writer
+	number   int
+	process  *process.Process
+	settings host.Settings
+	// started is when the process that runs began, in Unix nanoseconds.
+	started atomic.Int64
+}
+
+func (n *node) start(ctx context.Context) error {
+	n.process = &process.Process{Args: []string{"host", "--settings", n.file}, Log: n.log, Path: n.binary}
+	n.started.Store(time.Now().UnixNano())
+	return n.process.Start(ctx)
+}
+
+// backend is a backend server and the link to it.
+type backend struct {
+	*platformtest.Server
+
+	busy sync.Mutex
+	link *faultproxy.Proxy
+}
+
+// fleet is everything that runs.
+type fleet struct {
+	backends []*backend
+	nodes    []*node
+	store    platformtest.Store
+	// storeDelay is what each call of the store waits, in nanoseconds.
+	storeDelay atomic.Int64
+}
+
+// listen serves on a free port of loopback until ctx ends.
+func listen(ctx context.Context, group *errgroup.Group, handler http.Handler) (string, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: grace}
+	group.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+	group.Go(func() error {
+		_ = server.Serve(listener) // It ends with Close.
+		return nil
+	})
+	return listener.Addr().String(), nil
+}
+
+// linkTo forwards to an address until ctx ends.
+func linkTo(ctx context.Context, group *errgroup.Group, address string) (*faultproxy.Proxy, error) {
+	link := &faultproxy.Proxy{Target: address}
+	if err := link.Listen(); err != nil {
+		return nil, err
+	}
+	group.Go(func() error { return link.Run(ctx) })
+	return link, nil
+}
+
+// open starts the platform's stand-in and the processes.
+func (f *fleet) open(ctx context.Context, group *errgroup.Group, s Soak) error {
+	store, err := listen(ctx, group, http.HandlerFunc(f.serveStore))
+	if err != nil {
+		return err
+	}
+	for i := range engineCount + plainCount {
+		server := &platformtest.Server{
+			EventTime: eventTime, LoadTime: loadTime, Model: model, Name: fmt.Sprintf("engine%d", i), Service: engineService,
+			Slots: engineSlots, Store: &f.store.Memory, Zone: "zone-a",
+		}
+		if i >= engineCount {
+			server.Model, server.Name, server.Service, server.Slots, server.WorkTime = "", fmt.Sprintf("record%d", i), plainService, plainSlots, workTime
+		}
+		address, err := listen(ctx, group, server)
+		if err != nil {
+			return err
+		}
+		link, err := linkTo(ctx, group, address)
+		if err != nil {
+			return err
+		}
+		server.Address = link.Address
+		if err := server.Start(); err != nil {
+			return err
+		}
+		f.backends = append(f.backends, &backend{Server: server, link: link})
+	}
+	for i := range s.Processes {
+		link, err := linkTo(ctx, group, store)
+		if err != nil {
+			return err
+		}
+		n, err := newNode(s, i, link)
+		if err != nil {
+			return err
+		}
+		f.nodes = append(f.nodes, n)
+		if err := n.start(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func newNode(s Soak, number int, link *faultproxy.Proxy) (*node, error) {
+	ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>8&63, os.Getpid()&255, number+1)
+	at := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
+	settings := host.Settings{
+		CallerAddress: at(callerPort), DirectoryAddress: at(directoryPort), Grace: grace, ID: fmt.Sprintf("host%d", number),
+		MaxAddressTTL: addressTTL, OrderSpacing: orderSpacing, PeerAddress: at(peerPort), ReadyAddress: at(readyPort),
+		ResultRetention: retention, StoreAddress: link.Address, Zone: "zone-a",
+	}
+	data, err := platformtest.SettingsFile(settings)
+	if err != nil {
+		return nil, err
+	}
+	file := filepath.Join(s.Folder, settings.ID+".json")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return nil, err
+	}
+	log, err := os.Create(filepath.Join(s.Folder, settings.ID+".log"))
+	if err != nil {
+		return nil, err
+	}
+	return &node{binary: s.Binary, file: file, link: link, log: log, number: number, settings: settings}, nil
+}
+
+func (f *fleet) serveStore(w http.ResponseWriter, r *http.Request) {
+	if delay := f.storeDelay.Load(); delay > 0 {
+		time.Sleep(time.Duration(delay))
+	}
+	f.store.ServeHTTP(w, r)
+}
+
+// close ends the processes that still run.
+func (f *fleet) close() error {
+	var group errgroup.Group
+	for _, n := range f.nodes {
+		if n.process != nil {
+			group.Go(n.process.Kill)
+		}
+	}
+	return group.Wait()
+}
+
+// configure writes the configuration with all versions' routes so far.
+func (f *fleet) configure(version int64) error {
+	routes := []platformtest.Route{
+		{Host: routeHost, Prefix: batchPrefix, Service: engineService, Repeat: platformtest.RepeatBatch, Timeout: routeTimeout},
+		{Host: routeHost, Prefix: freePrefix, Service: plainService, Repeat: platformtest.RepeatFree, Timeout: routeTimeout},
+		{Host: routeHost, Prefix: neverPrefix, Service: plainService, Repeat: platformtest.RepeatNever, Timeout: routeTimeout},
+	}
+	for v := int64(1); v <= version; v++ {
+		routes = append(routes, platformtest.Route{
+			Host: routeHost, Prefix: versionPrefix(v), Service: plainService, Repeat: platformtest.RepeatFree, Timeout: routeTimeout,
+		})
+	}
+	return platformtest.Configure(&f.store, version, routes, map[string]string{engineService: model, plainService: ""})
+}
+
+// versionPrefix is that of the route that a version of the configuration adds.
+func versionPrefix(version int64) string { return fmt.Sprintf("/added-%d/", version) }
--- /dev/null
+++ b/internal/lab/soak/judge.go
@@ -0,0 +1,427 @@
+package soak
+
+import (
+	"cmp"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/nutmegway/nutmegway/platform/platformtest"
+)
+
+// limits are the times within which the promises must hold.
+type limits struct {
+	// apply is the time until a configuration is in force, and unstable what is
+	// added after trouble with the store.
+	apply, unstable time.Duration
+	// cancel is the time after a confirmed end until no item starts.
+	cancel time.Duration
+	// contact is the calm before a host's answers count.
+	contact time.Duration
+	// loss is how soon a request may be cut that crossed the close of its connection.
+	loss time.Duration
+	// regress is how late an older configuration may still be met.
+	regress time.Duration
+	// settle is the time after which an accepted batch is known everywhere.
+	settle time.Duration
+	// spacing is the least time between orders of two hosts to a server, but for
+	// those that arrive within thaw after their sender went on.
+	spacing, thaw time.Duration
+}
+
+// platformLimits are those of the platform's rules and settings.
+func platformLimits() limits {
+	return limits{
+		apply: 3 * time.Second, unstable: 6 * time.Second, cancel: 3 * time.Second, contact: 4 * time.Second,
+		loss: 200 * time.Millisecond, regress: 250 * time.Millisecond, settle: time.Second, spacing: orderSpacing, thaw: 300 * time.Millisecond,
+	}
+}
+
+// Finding is the judgement on one promise.
+type Finding struct {
+	Broken  int
+	Checked int
+	// First describes the first break.
+	First   string
+	Promise string
+}
+
+func (f *Finding) checkf(held bool, format string, args ...any) {
+	f.Checked++
+	if held {
+		return
+	}
+	f.Broken++
+	if f.First == "" {
+		f.First = fmt.Sprintf(format, args...)
+	}
+}
+
+// The promises, in the order of judge.
+const (
+	AnswersWhole    = "answers-whole"
+	NotRunIsTrue    = "not-run-is-true"
+	AtMostOnce      = "at-most-once"
+	OnlyAsked       = "only-what-was-asked"
+	StopsCutNothing = "stops-cut-nothing"
+	ConfigInForce   = "config-in-force"
+	OneGiver        = "one-giver-of-orders"
+	BatchesKept     = "accepted-batches-kept"
+	RefusedDontRun  = "refused-batches-do-not-run"
+	PositionsFixed  = "positions-fixed"
+	TextsWhole      = "texts-whole"
+	VersionsTrue    = "versions-true"
+	EndsKept        = "ends-kept"
+	RunsToTheEnd    = "batches-run-to-the-end"
+	BodiesKept      = "bodies-kept"
+)
+
+// judge returns one finding for each promise.
+func (r *records) judge(l limits) []Finding {
+	return []Finding{
+		r.answersWhole(), r.notRunIsTrue(), r.atMostOnce(), r.onlyAsked(), r.stopsCutNothing(l), r.configInForce(l), r.oneGiver(l),
+		r.batchesKept(l), r.refusedDontRun(), r.positionsFixed(), r.textsWhole(), r.versionsTrue(), r.endsKept(l),
+		r.runsToTheEnd(), r.bodiesKept(),
+	}
+}
+
+// calm reports whether nothing befell the host, the store or the servers in a span.
+func (r *records) calm(host int, from, to time.Time) bool {
+	return !slices.ContainsFunc(r.disturbances, func(d *disturbance) bool { return d.touches(host, from, to) })
+}
+
+func (r *records) runsByID() map[string][]platformtest.Run {
+	runs := map[string][]platformtest.Run{}
+	for _, run := range r.runs {
+		runs[run.ID] = append(runs[run.ID], run)
+	}
+	return runs
+}
+
+// items returns every item that was ever submitted and its batch.
+func (r *records) items() map[string]*submission {
+	items := map[string]*submission{}
+	for _, s := range r.submissions {
+		for _, i := range s.batch.Items {
+			items[i.ID] = s
+		}
+	}
+	return items
+}
+
+func (r *records) answersWhole() Finding {
+	f := Finding{Promise: AnswersWhole}
+	for _, q := range r.requests {
+		if !q.broken && q.answer.Status == http.StatusOK {
+			want := platformtest.PlainAnswer(q.id, q.method, q.target, q.body)
+			f.checkf(string(q.answer.Body) == want && q.answer.Stamp != "", "request %s got %.60q", q.id, q.answer.Body)
+		}
+	}
+	return f
+}
+
+func (r *records) notRunIsTrue() Finding {
+	f := Finding{Promise: NotRunIsTrue}
+	runs := r.runsByID()
+	for _, q := range r.requests {
+		if !q.broken && q.answer.NotRun() {
+			f.checkf(len(runs[q.id]) == 0, "request %s was refused with %d by host %d and ran %d times",
+				q.id, q.answer.Status, q.host, len(runs[q.id]))
+		}
+	}
+	return f
+}
+
+func (r *records) atMostOnce() Finding {
+	f := Finding{Promise: AtMostOnce}
+	runs := r.runsByID()
+	for _, q := range r.requests {
+		if q.repeat == platformtest.RepeatNever {
+			f.checkf(len(runs[q.id]) <= 1, "request %s ran %d times", q.id, len(runs[q.id]))
+		}
+	}
+	return f
+}
+
+// onlyAsked judges each run by what a caller or trainer sent under its id.
+func (r *records) onlyAsked() Finding {
+	f := Finding{Promise: OnlyAsked}
+	sent := map[string]string{}
+	for _, q := range r.requests {
+		sent[q.id] = strings.Join([]string{q.method, q.target, q.body}, " ")
+	}
+	for _, s := range r.submissions {
+		for _, i := range s.batch.Items {
+			sent[i.ID] = strings.Join([]string{http.MethodPost, s.batch.Prefix + "x", i.Body}, " ")
+		}
+	}
+	for _, run := range r.runs {
+		got := strings.Join([]string{run.Method, run.Target, run.Body}, " ")
+		f.checkf(sent[run.ID] == got, "server %s ran %s as %q, sent was %q", run.Server, run.ID, got, sent[run.ID])
+	}
+	return f
+}
+
+// stopsCutNothing judges the requests in flight on a host at its planned stop,
+// if nothing else befell anybody from the contact time before the request on.
+func (r *records) stopsCutNothing(l limits) Finding {
+	f := Finding{Promise: StopsCutNothing}
+	runs := r.runsByID()
+	for _, s := range r.stops {
+		for _, q := range r.requests {
+			inFlight := q.host == s.host && q.sent.Before(s.ended) && q.ended.After(s.at)
+			if inFlight && r.calm(everyone, q.sent.Add(-l.contact), q.ended) {
+				crossed := len(runs[q.id]) == 0 && q.ended.Sub(q.sent) <= l.loss
+				f.checkf(!q.broken || crossed, "request %s, sent %s after the order to stop to host %d, was cut", q.id, q.sent.Sub(s.at), s.host)
+			}
+		}
+	}
+	return f
+}
+
+// configInForce judges each look: never older than an earlier one at the same
+// process, nor than a version confirmed long enough ago.
+func (r *records) configInForce(l limits) Finding {
+	f := Finding{Promise: ConfigInForce}
+	probings := slices.Clone(r.probings)
+	slices.SortStableFunc(probings, func(a, b probing) int { return a.sent.Compare(b.sent) })
+	type process struct {
+		host    int
+		started time.Time
+	}
+	type sight struct {
+		at      time.Time
+		version int64
+	}
+	seen := map[process]sight{}
+	for _, p := range probings {
+		key := process{p.host, p.started}
+		before := seen[key]
+		f.checkf(p.version >= before.version || p.sent.Before(before.at.Add(l.regress)),
+			"host %d went back from version %d to %d", p.host, before.version, p.version)
+		if p.version > before.version {
+			seen[key] = sight{p.sent, p.version}
+		}
+		if !r.calm(p.host, p.sent.Add(-l.contact), p.sent) {
+			continue
+		}
+		due := l.apply
+		if !r.calm(p.host, p.sent.Add(-l.contact-l.unstable), p.sent) {
+			due += l.unstable
+		}
+		for _, e := range r.edits {
+			if e.at.Add(due).Before(p.sent) {
+				f.checkf(p.version >= e.version, "host %d has version %d, version %d was confirmed %s before",
+					p.host, p.version, e.version, p.sent.Sub(e.at))
+			}
+		}
+	}
+	return f
+}
+
+// oneGiver judges neighbouring orders to a server.
+func (r *records) oneGiver(l limits) Finding {
+	f := Finding{Promise: OneGiver}
+	last := map[string]platformtest.Order{}
+	fences := map[string]map[int64]string{}
+	orders := slices.Clone(r.orders)
+	slices.SortStableFunc(orders, func(a, b platformtest.Order) int { return a.At.Compare(b.At) })
+	for _, o := range orders {
+		if r.justResumed(o.At, l.thaw) {
+			continue
+		}
+		if before, ok := last[o.Server]; ok {
+			f.checkf(before.Holder == o.Holder || o.At.Sub(before.At) >= l.spacing,
+				"server %s got orders of %s and %s within %s", o.Server, before.Holder, o.Holder, o.At.Sub(before.At))
+		}
+		last[o.Server] = o
+		if fences[o.Server] == nil {
+			fences[o.Server] = map[int64]string{}
+		}
+		holder := cmp.Or(fences[o.Server][o.Fence], o.Holder)
+		f.checkf(holder == o.Holder, "server %s got orders of %s and %s under fence %d", o.Server, holder, o.Holder, o.Fence)
+		fences[o.Server][o.Fence] = holder
+	}
+	return f
+}
+
+// justResumed reports whether some process went on, or a link was mended, shortly before.
+func (r *records) justResumed(at time.Time, thaw time.Duration) bool {
+	return slices.ContainsFunc(r.disturbances, func(d *disturbance) bool {
+		return d.action.suspends() && !d.until.IsZero() && !at.Before(d.until) && at.Before(d.until.Add(thaw))
+	})
+}
+
+// batchesKept judges all readings of accepted batches.
+func (r *records) batchesKept(l limits) Finding {
+	f := Finding{Promise: BatchesKept}
+	for _, g := range r.readings {
+		s := r.submissions[g.batch]
+		if s == nil || s.accepted.IsZero() || g.sent.Before(s.accepted.Add(l.settle)) {
+			continue
+		}
+		f.checkf(g.status != http.StatusNotFound, "host %d does not know batch %s, accepted %s before", g.host, g.batch, g.sent.Sub(s.accepted))
+		if g.status == http.StatusOK {
+			f.checkf(g.page.Total == len(s.batch.Items), "host %d says that batch %s has %d items", g.host, g.batch, g.page.Total)
+		}
+	}
+	return f
+}
+
+func (r *records) refusedDontRun() Finding {
+	f := Finding{Promise: RefusedDontRun}
+	runs := r.runsByID()
+	for _, s := range r.submissions {
+		if !s.accepted.IsZero() || !s.refused {
+			continue
+		}
+		for _, i := range s.batch.Items {
+			f.checkf(len(runs[i.ID]) == 0, "item %s ran, its batch %s was refused", i.ID, s.batch.ID)
+		}
+	}
+	return f
+}
+
+// listed calls visit for each result that was read, with its position.
+func (r *records) listed(visit func(g reading, position int, result platformtest.Result)) {
+	for _, g := range r.readings {
+		for i, result := range g.page.Results {
+			visit(g, g.page.After+i, result)
+		}
+	}
+}
+
+func (r *records) positionsFixed() Finding {
+	f := Finding{Promise: PositionsFixed}
+	type place struct {
+		batch    string
+		position int
+	}
+	results, positions := map[place]platformtest.Result{}, map[string]place{}
+	r.listed(func(g reading, position int, result platformtest.Result) {
+		key := place{g.batch, position}
+		if first, ok := results[key]; ok {
+			same := first.Item == result.Item && first.Completed == result.Completed && first.Text == result.Text &&
+				slices.Equal(first.Versions, result.Versions)
+			f.checkf(same, "batch %s, position %d held %s and then %s", g.batch, position, first.Item, result.Item)
+		}
+		results[key] = result
+		if other, ok := positions[g.batch+" "+result.Item]; ok {
+			f.checkf(other == key, "batch %s, item %s stands at positions %d and %d", g.batch, result.Item, other.position, position)
+		}
+		positions[g.batch+" "+result.Item] = key
+	})
+	return f
+}
+
+// textsWhole judges the results: the whole text, or an end that a caller or the
+// servers gave reason for.
+func (r *records) textsWhole() Finding {
+	f := Finding{Promise: TextsWhole}
+	items, runs := r.items(), r.runsByID()
+	r.listed(func(g reading, _ int, result platformtest.Result) {
+		s := items[result.Item]
+		if s == nil || s.batch.ID != g.batch {
+			f.checkf(false, "batch %s lists item %s, which isn't its own", g.batch, result.Item)
+			return
+		}
+		if result.Completed {
+			f.checkf(result.Text == platformtest.ItemText(result.Item, bodyOf(s, result.Item)), "item %s has the text %.80q", result.Item, result.Text)
+			return
+		}
+		failed := 0
+		for _, run := range runs[result.Item] {
+			if run.Failed {
+				failed++
+			}
+		}
+		f.checkf(!s.ending.IsZero() || failed >= platformtest.MaxAttempts || g.sent.Sub(s.accepted) > platformtest.ItemLimit,
+			"item %s was given up after %d failures", result.Item, failed)
+	})
+	return f
+}
+
+func bodyOf(s *submission, item string) string {
+	for _, i := range s.batch.Items {
+		if i.ID == item {
+			return i.Body
+		}
+	}
+	return ""
+}
+
+// versionsTrue judges the versions that results name by those that servers used.
+func (r *records) versionsTrue() Finding {
+	f := Finding{Promise: VersionsTrue}
+	items, runs := r.items(), r.runsByID()
+	r.listed(func(_ reading, _ int, result platformtest.Result) {
+		if !result.Completed || items[result.Item] == nil {
+			return
+		}
+		used := map[int64]bool{}
+		for _, run := range runs[result.Item] {
+			for version := range run.Versions {
+				used[version] = true
+			}
+		}
+		f.checkf(len(result.Versions) > 0, "item %s names no version", result.Item)
+		for _, version := range result.Versions {
+			f.checkf(used[version] && version >= items[result.Item].batch.MinVersion, "item %s names version %d, used were %v, allowed from %d on",
+				result.Item, version, used, items[result.Item].batch.MinVersion)
+		}
+	})
+	return f
+}
+
+// endsKept judges the runs that began after a confirmed end, unless something
+// befell a host meanwhile.
+func (r *records) endsKept(l limits) Finding {
+	f := Finding{Promise: EndsKept}
+	runs := r.runsByID()
+	for _, s := range r.submissions {
+		if s.ended.IsZero() {
+			continue
+		}
+		late := ""
+		for _, i := range s.batch.Items {
+			for _, run := range runs[i.ID] {
+				if run.Started.After(s.ended.Add(l.cancel)) && r.calm(everyone, run.Started.Add(-l.contact), run.Started) {
+					late = fmt.Sprintf("item %s began %s after the end of batch %s", i.ID, run.Started.Sub(s.ended), s.batch.ID)
+				}
+			}
+		}
+		f.checkf(late == "", "%s", late)
+	}
+	return f
+}
+
+// runsToTheEnd judges the batches that nobody ended by the last readings.
+func (r *records) runsToTheEnd() Finding {
+	f := Finding{Promise: RunsToTheEnd}
+	lists := map[string]int{}
+	for _, g := range r.readings {
+		if g.final {
+			lists[g.batch] = max(lists[g.batch], g.page.Next)
+		}
+	}
+	for _, s := range r.submissions {
+		if s.accepted.IsZero() || !s.ending.IsZero() {
+			continue
+		}
+		f.checkf(lists[s.batch.ID] == len(s.batch.Items), "batch %s, accepted %s, lists %d of %d items at the end",
+			s.batch.ID, s.accepted.Format(time.TimeOnly), lists[s.batch.ID], len(s.batch.Items))
+	}
+	return f
+}
+
+func (r *records) bodiesKept() Finding {
+	f := Finding{Promise: BodiesKept}
+	items := r.items()
+	for _, b := range r.bodies {
+		f.checkf(b.status == http.StatusOK && b.body == bodyOf(items[b.item], b.item),
+			"item %s of batch %s gave %d and %.40q", b.item, b.batch, b.status, b.body)
+	}
+	return f
+}
--- /dev/null
+++ b/internal/lab/soak/judge_test.go
@@ -0,0 +1,190 @@
+package soak
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/nutmegway/nutmegway/platform/platformtest"
+)
+
+// soundRecords are those of a short run in which every promise was checked and
+// held. Times are seconds after zero.
+func soundRecords(zero time.Time) *records {
+	at := func(seconds float64) time.Time { return zero.Add(time.Duration(seconds * float64(time.Second))) }
+	item := func(id string) platformtest.Item { return platformtest.Item{Body: "2", Group: "g", ID: id} }
+	ran := func(id, method, target, body string, started float64) platformtest.Run {
+		return platformtest.Run{
+			Body: body, ID: id, Method: method, Server: "s", Started: at(started), Target: target, Versions: map[int64]bool{3: true},
+		}
+	}
+	answered := platformtest.Answer{Body: []byte(platformtest.PlainAnswer("q1", "POST", "/n/q1", "b")), Stamp: "s", Status: http.StatusOK}
+	result := platformtest.Result{Completed: true, Item: "i1", Text: platformtest.ItemText("i1", "2"), Versions: []int64{3}}
+	page := platformtest.Page{Next: 1, Results: []platformtest.Result{result}, Total: 1}
+	open := platformtest.Batch{ID: "open", Items: []platformtest.Item{item("i1")}, MinVersion: 2, Prefix: "/b/"}
+	ended := platformtest.Batch{ID: "ended", Items: []platformtest.Item{item("i2")}, Prefix: "/b/"}
+	refused := platformtest.Batch{ID: "refused", Items: []platformtest.Item{item("i3")}, Prefix: "/b/"}
+	return &records{
+		bodies: []bodyReading{{batch: "open", body: "2", item: "i1", status: http.StatusOK}},
+		edits:  []edit{{at: at(1), version: 2}},
+		orders: []platformtest.Order{
+			{At: at(1), Fence: 1, Holder: "h1", Server: "s"}, {At: at(5), Fence: 2, Holder: "h2", Server: "s"},
+		},
+		probings: []probing{{host: 0, sent: at(10), version: 2}, {host: 0, sent: at(11), version: 2}},
+		readings: []reading{
+			{batch: "open", host: 0, page: page, sent: at(10), status: http.StatusOK},
+			{batch: "open", final: true, host: 1, page: page, sent: at(30), status: http.StatusOK},
+		},
+		requests: []request{
+			{answer: answered, body: "b", ended: at(10.1), host: 0, id: "q1", method: "POST", repeat: platformtest.RepeatNever, sent: at(10), target: "/n/q1"},
+			{answer: platformtest.Answer{Status: http.StatusServiceUnavailable}, ended: at(10.1), host: 1, id: "q2", method: "POST", sent: at(10), target: "/n/q2"},
+		},
+		runs:  []platformtest.Run{ran("q1", "POST", "/n/q1", "b", 10), ran("i1", "POST", "/b/x", "2", 9), ran("i2", "POST", "/b/x", "2", 9)},
+		stops: []stop{{at: at(10.05), ended: at(12), host: 0}},
+		submissions: map[string]*submission{
+			"open":    {accepted: at(8), batch: open},
+			"ended":   {accepted: at(8), batch: ended, ended: at(12), ending: at(11)},
+			"refused": {batch: refused, refused: true},
+		},
+	}
+}
+
+// TestPlantedFaultsAreCaught breaks each promise in turn.
+func TestPlantedFaultsAreCaught(t *testing.T) {
+	zero := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	at := func(seconds float64) time.Time { return zero.Add(time.Duration(seconds * float64(time.Second))) }
+	cases := map[string]struct {
+		promise string
+		plant   func(*records)
+	}{
+		"nothing planted":         {"", func(*records) {}},
+		"bytes of another answer": {AnswersWhole, func(r *records) { r.requests[0].answer.Body = []byte("q9") }},
+		"no signature":            {AnswersWhole, func(r *records) { r.requests[0].answer.Stamp = "" }},
+		"refused and ran": {NotRunIsTrue, func(r *records) {
+			r.runs = append(r.runs, platformtest.Run{ID: "q2", Method: "POST", Target: "/n/q2"})
+		}},
+		"ran twice":      {AtMostOnce, func(r *records) { r.runs = append(r.runs, r.runs[0]) }},
+		"a changed path": {OnlyAsked, func(r *records) { r.runs[0].Target = "/n/q1/" }},
+		"an unknown id":  {OnlyAsked, func(r *records) { r.runs = append(r.runs, platformtest.Run{ID: "q9"}) }},
+		"cut by a stop":  {StopsCutNothing, func(r *records) { r.requests[0].broken = true }},
+		"a version not in force": {ConfigInForce, func(r *records) {
+			r.probings[0].version, r.probings[1].version = 1, 1
+		}},
+		"back to an older version": {ConfigInForce, func(r *records) {
+			r.edits, r.probings[1].version = nil, 1
+		}},
+		"two givers in turn":  {OneGiver, func(r *records) { r.orders[1].At = at(3) }},
+		"two under one fence": {OneGiver, func(r *records) { r.orders[1].Fence = 1 }},
+		"an accepted batch is unknown": {BatchesKept, func(r *records) {
+			r.readings = append(r.readings, reading{batch: "ended", sent: at(20), status: http.StatusNotFound})
+		}},
+		"a wrong total": {BatchesKept, func(r *records) { r.readings[0].page.Total = 2 }},
+		"a refused batch runs": {RefusedDontRun, func(r *records) {
+			r.runs = append(r.runs, platformtest.Run{Body: "2", ID: "i3", Method: "POST", Target: "/b/x"})
+		}},
+		"another versions list": {PositionsFixed, func(r *records) {
+			r.readings[1].page.Results = []platformtest.Result{{Completed: true, Item: "i1", Text: platformtest.ItemText("i1", "2"), Versions: []int64{3, 3}}}
+		}},
+		"another position": {PositionsFixed, func(r *records) { r.readings[1].page.After = 1 }},
+		"an event is missing": {TextsWhole, func(r *records) {
+			bothResults(r, platformtest.Result{Completed: true, Item: "i1", Text: "i1.1", Versions: []int64{3}})
+		}},
+		"given up without reason": {TextsWhole, func(r *records) { bothResults(r, platformtest.Result{Item: "i1"}) }},
+		"an item of another batch": {TextsWhole, func(r *records) {
+			bothResults(r, platformtest.Result{Completed: true, Item: "i2", Text: platformtest.ItemText("i2", "2"), Versions: []int64{3}})
+		}},
+		"a version that was not used": {VersionsTrue, func(r *records) { r.runs[1].Versions = map[int64]bool{4: true} }},
+		"a version that is too old":   {VersionsTrue, func(r *records) { r.submissions["open"].batch.MinVersion = 4 }},
+		"an item after the end":       {EndsKept, func(r *records) { r.runs[2].Started = at(16) }},
+		"an unended batch stays open": {RunsToTheEnd, func(r *records) { r.readings[1].final = false }},
+		"a body of other bytes":       {BodiesKept, func(r *records) { r.bodies[0].body = "3" }},
+		"a body that is gone":         {BodiesKept, func(r *records) { r.bodies[0].status = http.StatusNotFound }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := soundRecords(zero)
+			c.plant(r)
+			for _, f := range r.judge(platformLimits()) {
+				is.Equal(f.Broken > 0, f.Promise == c.promise) // only the planted one: f
+				is.True(f.Checked > 0 || c.promise != "")
+				if (f.Broken > 0) != (f.Promise == c.promise) {
+					t.Logf("%+v", f)
+				}
+			}
+		})
+	}
+}
+
+func bothResults(r *records, result platformtest.Result) {
+	for i := range r.readings {
+		r.readings[i].page.Results = []platformtest.Result{result}
+	}
+}
+
+// TestTroubleExcusesOnlyItsOwn tells which checks a disturbance takes out.
+func TestTroubleExcusesOnlyItsOwn(t *testing.T) {
+	zero := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	at := func(seconds float64) time.Time { return zero.Add(time.Duration(seconds * float64(time.Second))) }
+	cases := map[string]struct {
+		trouble disturbance
+		promise string
+		broken  bool
+		plant   func(*records)
+	}{
+		"a cut host may lag": {disturbance{host: 0, from: at(7), until: at(8)}, ConfigInForce, false, func(r *records) {
+			r.probings[0].version, r.probings[1].version = 1, 1
+		}},
+		"another host's cut excuses none": {disturbance{host: 1, from: at(7), until: at(8)}, ConfigInForce, true, func(r *records) {
+			r.probings[0].version, r.probings[1].version = 1, 1
+		}},
+		"a server's crash excuses no lag": {disturbance{host: servers, from: at(7), until: at(8)}, ConfigInForce, true, func(r *records) {
+			r.probings[0].version, r.probings[1].version = 1, 1
+		}},
+		"a server's crash may cut a request": {disturbance{host: servers, from: at(7), until: at(8)}, StopsCutNothing, false, func(r *records) {
+			r.requests[0].broken = true
+		}},
+		"an order after a thaw": {disturbance{action: ActionHostPause, host: 0, from: at(1), until: at(2.9)}, OneGiver, false, func(r *records) {
+			r.orders[1].At = at(3)
+		}},
+		"an order long after a thaw": {disturbance{action: ActionHostPause, host: 0, from: at(1), until: at(2)}, OneGiver, true, func(r *records) {
+			r.orders[1].At = at(3)
+		}},
+		"no trouble excuses a second run": {disturbance{host: everyone, from: at(0), until: at(30)}, AtMostOnce, true, func(r *records) {
+			r.runs = append(r.runs, r.runs[0])
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := soundRecords(zero)
+			r.disturbances = []*disturbance{&c.trouble}
+			c.plant(r)
+			for _, f := range r.judge(platformLimits()) {
+				if f.Promise == c.promise {
+					is.Equal(f.Broken > 0, c.broken) // the planted fault is seen
+				}
+			}
+		})
+	}
+}
+
+// TestScheduleIsThatOfItsSeed keeps seeds that failed usable.
+func TestScheduleIsThatOfItsSeed(t *testing.T) {
+	is := is.New(t)
+	first, again, other := Schedule(7, 3*cycleTime), Schedule(7, 3*cycleTime), Schedule(8, 3*cycleTime)
+	is.Equal(first, again)
+	is.True(len(first) > 0 && len(other) > 0)
+	is.True(first[0] != other[0] || first[1] != other[1])
+	seen := map[Action]bool{}
+	for _, e := range first {
+		seen[e.Action] = true
+		inStorm := e.At%cycleTime < stormTime && e.At+e.Last <= e.At/cycleTime*cycleTime+stormTime
+		is.True(inStorm || e.Action == ActionHostStop) // a calm holds one planned stop only
+	}
+	for _, a := range stormActions {
+		is.True(seen[a])
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/player.go
@@ -0,0 +1,233 @@
+package soak
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegway/nutmegway/internal/base/wait"
+	"github.com/nutmegway/nutmegway/internal/standin/faultproxy"
+	"github.com/nutmegway/nutmegway/internal/standin/kvmemory"
+	"github.com/nutmegway/nutmegway/platform/platformtest"
+)
+
+const (
+	linkDelay  = 300 * time.Millisecond
+	storeDelay = 250 * time.Millisecond
+	// troubleCount is how many requests of a server a trouble befalls at most.
+	troubleCount = 4
+	// loseEach is which of the store's calls loses its answer: one of so many.
+	loseEach = 3
+)
+
+// serverTroubles are the actions that befall the next requests of a server.
+var serverTroubles = map[Action]platformtest.Trouble{
+	ActionServerBreaks:    platformtest.TroubleBreaks,
+	ActionServerFails:     platformtest.TroubleFails,
+	ActionServerLoseOrder: platformtest.TroubleLosesOrder,
+	ActionServerSilent:    platformtest.TroubleSilent,
+}
+
+var linkFaults = map[Action]faultproxy.Fault{
+	ActionLinkBlackhole: {Blackhole: true},
+	ActionLinkDelay:     {Delay: linkDelay},
+	ActionLinkOneWay:    {HalfOpen: true},
+	ActionLinkReset:     {Refuse: true},
+	ActionServerLink:    {Refuse: true},
+	ActionServerOneWay:  {HalfOpen: true},
+}
+
+// play carries the events out as their times come; those that overlap run side
+// by side. One whose host or server is taken by another event is skipped.
+func (r *run) play(ctx context.Context, events []Event) error {
+	start := time.Now()
+	var group errgroup.Group
+	for _, event := range events {
+		if !wait.For(ctx, time.Until(start.Add(event.At))) {
+			break
+		}
+		group.Go(func() error { return r.apply(ctx, event) })
+	}
+	return group.Wait()
+}
+
+func (r *run) apply(ctx context.Context, event Event) error {
+	n := r.nodes[event.Target%len(r.nodes)]
+	b := r.backends[event.Target%len(r.backends)]
+	switch event.Action {
+	case ActionAllKill:
+		return r.killAll(ctx, event)
+	case ActionHostKill, ActionHostPause, ActionHostReload, ActionHostSeries, ActionHostStop:
+		if !n.busy.TryLock() {
+			return nil
+		}
+		defer n.busy.Unlock()
+		return r.troubleHost(ctx, n, event)
+	case ActionLinkBlackhole, ActionLinkDelay, ActionLinkOneWay, ActionLinkReset:
+		if n.busy.TryLock() {
+			defer n.busy.Unlock()
+			r.troubleLink(ctx, n.link, n.number, event)
+		}
+	case ActionServerBreaks, ActionServerCrash, ActionServerFails, ActionServerLink, ActionServerLoseOrder, ActionServerOneWay, ActionServerSilent:
+		if b.busy.TryLock() {
+			defer b.busy.Unlock()
+			return r.troubleServer(ctx, b, event)
+		}
+	default:
+		r.troubleStore(ctx, event)
+	}
+	return nil
+}
+
+func (r *run) troubleHost(ctx context.Context, n *node, event Event) error {
+	switch event.Action {
+	case ActionHostReload:
+		return n.process.Signal(reloadSignal)
+	case ActionHostStop:
+		return r.stop(ctx, n, event.Last)
+	}
+	defer r.ledger.disturb(event.Action, n.number)()
+	switch event.Action {
+	case ActionHostKill:
+		return r.kill(ctx, n, event.Last)
+	case ActionHostPause:
+		return pause(ctx, n, event.Last)
+	}
+	// A series: signals and restarts one upon the other.
+	for range 3 {
+		if err := pause(ctx, n, event.Last/8); err != nil {
+			return err
+		}
+		if err := n.process.Signal(reloadSignal); err != nil {
+			return err
+		}
+		if err := r.kill(ctx, n, event.Last/8); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// stop ends a host as planned work does and starts it again.
+func (r *run) stop(ctx context.Context, n *node, last time.Duration) error {
+	s := stop{at: time.Now(), host: n.number}
+	if err := n.process.Terminate(); err != nil {
+		return classError.New("host %s, told to stop: %w", n.settings.ID, err)
+	}
+	s.ended = time.Now()
+	r.ledger.add(func(records *records) { records.stops = append(records.stops, s) })
+	wait.For(ctx, last) // The host starts again in any case.
+	return n.start(ctx)
+}
+
+func (r *run) kill(ctx context.Context, n *node, last time.Duration) error {
+	if err := n.process.Kill(); err != nil {
+		return err
+	}
+	wait.For(ctx, last) // The host starts again in any case.
+	return n.start(ctx)
+}
+
+func pause(ctx context.Context, n *node, last time.Duration) error {
+	if err := n.process.Pause(); err != nil {
+		return err
+	}
+	wait.For(ctx, last) // The process goes on in any case.
+	return n.process.Resume()
+}
+
+// killAll kills every host that no other event has taken, at once.
+func (r *run) killAll(ctx context.Context, event Event) error {
+	defer r.ledger.disturb(event.Action, everyone)()
+	var group errgroup.Group
+	for _, n := range r.nodes {
+		if n.busy.TryLock() {
+			group.Go(func() error {
+				defer n.busy.Unlock()
+				return r.kill(ctx, n, event.Last/4)
+			})
+		}
+	}
+	return group.Wait()
+}
+
+func (r *run) troubleLink(ctx context.Context, link *faultproxy.Proxy, host int, event Event) {
+	defer r.ledger.disturb(event.Action, host)()
+	fault := linkFaults[event.Action]
+	link.Set(fault)
+	if fault.Refuse {
+		link.ResetAll()
+	}
+	wait.For(ctx, event.Last) // The link is mended in any case.
+	link.Set(faultproxy.Fault{})
+	if !fault.Refuse && fault.Delay == 0 {
+		// What was dropped is gone: the connections can't go on.
+		link.ResetAll()
+	}
+}
+
+func (r *run) troubleServer(ctx context.Context, b *backend, event Event) error {
+	if trouble, ok := serverTroubles[event.Action]; ok {
+		defer r.ledger.disturb(event.Action, servers)()
+		b.Meet(trouble, 1+event.Target%troubleCount)
+		wait.For(ctx, event.Last) // The trouble ends in any case.
+		b.Calm()
+		return nil
+	}
+	if event.Action != ActionServerCrash {
+		r.troubleLink(ctx, b.link, servers, event)
+		return nil
+	}
+	defer r.ledger.disturb(event.Action, servers)()
+	b.link.Set(faultproxy.Fault{Refuse: true})
+	b.link.ResetAll()
+	b.Stop()
+	wait.For(ctx, event.Last) // The server comes back in any case.
+	b.link.Set(faultproxy.Fault{})
+	return b.Start()
+}
+
+func (r *run) troubleStore(ctx context.Context, event Event) {
+	memory := &r.store.Memory
+	switch event.Action {
+	case ActionStoreEndsLeases:
+		defer r.ledger.disturb(event.Action, everyone)()
+		memory.EndAll()
+		return
+	case ActionStoreForgets:
+		defer r.ledger.disturb(event.Action, everyone)()
+		memory.Compact()
+		return
+	}
+	if !r.work.storeBusy.TryLock() {
+		return
+	}
+	defer r.work.storeBusy.Unlock()
+	defer r.ledger.disturb(event.Action, everyone)()
+	var calls int
+	switch event.Action {
+	case ActionStoreDown:
+		memory.Inject(func(string) kvmemory.Fault { return kvmemory.FaultRefused })
+	case ActionStoreLoses, ActionStoreLate:
+		fault := kvmemory.FaultLost
+		if event.Action == ActionStoreLate {
+			fault = kvmemory.FaultLate
+		}
+		memory.Inject(func(string) kvmemory.Fault {
+			r.work.mu.Lock()
+			defer r.work.mu.Unlock()
+			calls++
+			if calls%loseEach == 0 {
+				return fault
+			}
+			return kvmemory.FaultNone
+		})
+	case ActionStoreSlow:
+		r.storeDelay.Store(int64(storeDelay))
+	}
+	wait.For(ctx, event.Last) // The store comes back in any case.
+	memory.Inject(nil)
+	memory.Late()
+	r.storeDelay.Store(0)
+}
--- a/internal/standin/kvmemory/kvmemory.go
+++ b/internal/standin/kvmemory/kvmemory.go
@@ -99,6 +99,14 @@
 	return s.commit(txn)
 }
 
+// Put writes without regard to faults, as an operator does whom the service
+// never refuses.
+func (s *Store) Put(writes ...kv.Write) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, _ = s.commit(kv.Txn{Writes: writes}) // Only conditions and leases can fail.
+}
+
 // Late carries out the writes that FaultLate held back.
 func (s *Store) Late() {
 	s.mu.Lock()
@@ -219,6 +227,16 @@
 	s.remove(func(e kv.Entry) bool { return e.Lease == id })
 }
 
+// EndAll ends all leases at once.
+func (s *Store) EndAll() {
+	s.mu.Lock()
+	ids := slices.Collect(maps.Keys(s.leases))
+	s.mu.Unlock()
+	for _, id := range ids {
+		s.End(id)
+	}
+}
+
 // Remove deletes keys without regard to leases, as an operator or a failing
 // service may.
 func (s *Store) Remove(prefix string) {
