Keep each host's single requests at one server of a service

Now each host prefers one server, in its own zone if there is one, until a request is in flight there.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -125,7 +125,8 @@
 	}
 	h.servers = &serverFeed{Documents: h.Documents, Inventory: h.inventory, Logger: h.Logger}
 	h.Forwarder = &forward.Forwarder{
-		Client: h.Plain, Dialect: h.Dialect, Inventory: h.inventory, Logger: h.Logger, Zone: h.Settings.Zone,
+		Client: h.Plain, Dialect: h.Dialect, Inventory: h.inventory, Logger: h.Logger,
+		Self: h.Settings.ID, Zone: h.Settings.Zone,
 	}
 	h.roster = &roster.Roster{
 		Logger: h.Logger, Store: h.store,
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -56,6 +56,8 @@
 	Dialect   dialect.Dialect
 	Inventory *inventory.Inventory
 	Logger    *slog.Logger
+	// Self is the id of this host.
+	Self string
 	// Zone is the availability zone of this host.
 	Zone string
 
@@ -97,7 +99,7 @@
 	defer cancel()
 	x := &exchange{
 		Forwarder: f, request: request, deadline: deadline, service: route.PickService(rand.Float64()),
-		attempts: attempts{route: route, zone: f.Zone, tried: make(map[string]struct{})},
+		attempts: attempts{route: route, self: f.Self, zone: f.Zone, tried: make(map[string]struct{})},
 		answers:  make(chan answer),
 	}
 	group, groupCtx := errgroup.WithContext(ctx)
--- a/internal/request/forward/policy.go
+++ b/internal/request/forward/policy.go
@@ -6,6 +6,7 @@
 
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
+	"github.com/nutmegway/nutmegway/internal/base/rendezvous"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
 )
 
@@ -22,6 +23,10 @@
 	// six less in use, a suspect one only when all others are suspect or full.
 	crossZoneCost = 0.08
 	suspectCost   = 10
+	// strangeCost is added for all servers but one of each service, so that a
+	// host's requests come often enough there to find a kept connection. It is
+	// worth less than one request in flight at servers of up to twelve slots.
+	strangeCost = 0.08
 	// refusalsPerAttempt bounds the servers that are asked although others said
 	// that they are full.
 	refusalsPerAttempt = 2
@@ -34,7 +39,9 @@
 // attempts follows the tries of one request. It does no I/O.
 type attempts struct {
 	route config.Route
-	zone  string
+	// self is the id of this host.
+	self string
+	zone string
 
 	// mayHaveRun counts the tries after which the request may have run.
 	mayHaveRun int
@@ -55,15 +62,18 @@
 }
 
 // choose returns the untried server with the least load for a single request
-// of some ten milliseconds. Several hosts decide on loads of different age, so
-// a small random part keeps them from choosing the same server.
+// of some ten milliseconds. Each host prefers a server of its own: a few requests
+// a second, spread over all servers, find each idle connection closed, and those
+// of many hosts meet at the servers by chance anyway. A small random part keeps
+// hosts that turn away from a loaded server from choosing the same one.
 func (a *attempts) choose(candidates []inventory.Candidate) (inventory.Candidate, bool) {
+	home := a.home(candidates)
 	best, lowest := -1, 0.0
 	for i, c := range candidates {
 		if _, ok := a.tried[c.ID]; ok {
 			continue
 		}
-		cost := a.cost(c) + rand.Float64()*crossZoneCost/2
+		cost := a.cost(c, home)
 		if best < 0 || cost < lowest {
 			best, lowest = i, cost
 		}
@@ -74,11 +84,29 @@
 	return candidates[best], true
 }
 
-func (a *attempts) cost(c inventory.Candidate) float64 {
+// home returns the server that this host prefers, in its own zone if there is one.
+func (a *attempts) home(candidates []inventory.Candidate) string {
+	var near, all []string
+	for _, c := range candidates {
+		all = append(all, c.ID)
+		if c.Zone == a.zone {
+			near = append(near, c.ID)
+		}
+	}
+	if len(near) == 0 {
+		near = all
+	}
+	return rendezvous.Owner(a.self, near)
+}
+
+func (a *attempts) cost(c inventory.Candidate, home string) float64 {
 	cost := float64(max(c.InFlight, c.Reported)+1) / float64(max(c.Slots, 1))
 	if c.Zone != a.zone {
 		cost += crossZoneCost
 	}
+	if c.ID != home {
+		cost += strangeCost + rand.Float64()*crossZoneCost/2
+	}
 	if c.Suspect {
 		cost += suspectCost
 	}
