Order engines under the list of hosts that a host has heard of

The entry of an order is written under the condition that no host was added since the list was read, so a list from the mirror serves as well: if it is too old the entry is refused and the list is read. The fencing number is now the revision of the entry, which no other giver can share. Ruled out: taking the revision of the list for the fence; two givers of one engine could share it once lists come from mirrors. Tests: no read while the known list holds, one read after a refusal, fences grow.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -151,7 +151,7 @@
 	h.runner.OnHead = h.Batches.Index.Put
 	h.giver = &loading.Giver{
 		Config: h.config.Load, Engines: h.Engines, Inventory: h.inventory, Logger: h.Logger,
-		Register: loading.Ledger{Self: h.Settings.ID, Store: h.store}, Self: h.Settings.ID,
+		Register: &loading.Ledger{Known: h.roster.Known, Self: h.Settings.ID, Store: h.store}, Self: h.Settings.ID,
 		Spacing: h.Settings.OrderSpacing,
 	}
 	h.retired = retirements{Duty: h.isFirst, Documents: h.Documents, Logger: h.Logger, Store: h.store, wake: make(chan struct{}, 1)}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -67,7 +67,9 @@
 	hosts   map[string]Host
 	lease   kv.LeaseID
 	leaving bool
-	written bool
+	// revisions are those of the keys of the list, as the mirror told them.
+	revisions map[string]int64
+	written   bool
 	wake    chan struct{}
 }
 
@@ -132,24 +134,32 @@
 	return present(r.hosts)
 }
 
-// List is the list of hosts as the store held it at one moment.
+// List is a list of hosts with the revisions of its keys.
 type List struct {
 	// Hosts are those that are not leaving.
 	Hosts []Host
-	// Revision is the store's revision of the list. It is higher than that of
-	// any list to which a host was added before.
-	Revision int64
 
 	revisions map[string]int64
 }
 
+// Known returns the list as this host has heard of it. Hosts that it still holds
+// may be gone; one that was added shows as another Epoch.
+func (r *Roster) Known() List {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return List{Hosts: present(r.hosts), revisions: maps.Clone(r.revisions)}
+}
+
+// Epoch is the revision at which a host was last added; zero if that isn't known.
+func (l List) Epoch() int64 { return l.revisions[epochKey] }
+
 // Read reads the list at the store.
 func Read(ctx context.Context, store kv.Store) (List, error) {
-	entries, revision, err := store.List(ctx, listPrefix)
+	entries, _, err := store.List(ctx, listPrefix)
 	if err != nil {
 		return List{}, err
 	}
-	list := List{Revision: revision, revisions: make(map[string]int64, len(entries))}
+	list := List{revisions: make(map[string]int64, len(entries))}
 	hosts := make(map[string]Host, len(entries))
 	for _, entry := range entries {
 		list.revisions[entry.Key] = entry.ModRevision
@@ -224,6 +234,26 @@
 		}
 		r.set(id, host, event.Delete)
 	}
+	// The epoch comes last: with it the list is known to hold all added hosts.
+	for _, event := range change.Events {
+		if strings.HasPrefix(event.Entry.Key, listPrefix) {
+			r.note(event)
+		}
+	}
+}
+
+// note keeps the revision of a key of the list.
+func (r *Roster) note(event kv.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.revisions == nil {
+		r.revisions = make(map[string]int64)
+	}
+	if event.Delete {
+		delete(r.revisions, event.Entry.Key)
+		return
+	}
+	r.revisions[event.Entry.Key] = event.Entry.ModRevision
 }
 
 // set replaces or removes one host and reports an incarnation that is gone.
--- a/internal/rollout/loading/giver.go
+++ b/internal/rollout/loading/giver.go
@@ -59,11 +59,11 @@
 
 // Register is where the right to order engines is settled between hosts.
 type Register interface {
-	// Permit reads which hosts are alive.
+	// Permit tells which hosts are alive.
 	Permit(ctx context.Context) (Permit, error)
-	// Enter notes that this host orders engines. It fails if the permit no
-	// longer holds.
-	Enter(ctx context.Context, permit Permit, engines []string, now time.Time) error
+	// Enter notes that this host orders engines and returns the fencing number
+	// of the orders. It fails if the permit does not hold.
+	Enter(ctx context.Context, permit Permit, engines []string, now time.Time) (int64, error)
 	// Records returns the last order of each engine.
 	Records(ctx context.Context) (map[string]Record, error)
 }
@@ -81,7 +81,7 @@
 // Giver gives orders to the engines that are this host's: those for which it
 // ranks first among the living hosts. Each order is entered in the register
 // before it is given, under the condition that the list of hosts still ranks
-// this host first; the store's revision is the fencing number. A host that
+// this host first; the store's revision of the entry is the fencing number. A host that
 // became first for an engine reads who ordered it last, and waits the spacing if
 // that was another host a moment ago. The loss of a host leaves only its own
 // engines without orders for that time. The fields are set before Run.
@@ -260,12 +260,13 @@
 	if len(engines) == 0 {
 		return nil, 0
 	}
-	if err := g.Register.Enter(ctx, permit, engines, g.now()); err != nil {
+	fence, err := g.Register.Enter(ctx, permit, engines, g.now())
+	if err != nil {
 		g.Logger.LogAttrs(ctx, slog.LevelWarn, "orders not given, they could not be entered",
 			slog.Any("engines", engines), slog.Any("error", err))
 		return nil, 0
 	}
-	return permitted, permit.Revision
+	return permitted, fence
 }
 
 func (g *Giver) now() time.Time {
--- a/internal/rollout/loading/ledger.go
+++ b/internal/rollout/loading/ledger.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
@@ -25,11 +26,9 @@
 	Host     string `json:"host"`
 }
 
-// Permit is the right of a host to give orders, as of one moment.
+// Permit is the right of a host to give orders, under a list of hosts.
 type Permit struct {
 	Hosts []string
-	// Revision is the fencing number.
-	Revision int64
 
 	list roster.List
 }
@@ -37,27 +36,43 @@
 // Ledger keeps in the store who ordered which engine last. The fields are set
 // before the first call.
 type Ledger struct {
+	// Known returns the list of hosts as this host has heard of it. It saves
+	// reading the list before each order; nil reads it.
+	Known func() roster.List
 	Self  string
 	Store kv.Store
+
+	// refused is the epoch of the list that the store last refused.
+	refused atomic.Int64
 }
 
-var _ Register = Ledger{}
+var _ Register = (*Ledger)(nil)
 
-// Permit implements Register.
-func (l Ledger) Permit(ctx context.Context) (Permit, error) {
+// Permit implements Register. A list that this host has heard of serves as well
+// as one that was just read, since Enter succeeds only if no host was added to
+// it.
+func (l *Ledger) Permit(ctx context.Context) (Permit, error) {
+	if l.Known != nil {
+		list := l.Known()
+		if epoch := list.Epoch(); epoch != 0 && epoch != l.refused.Load() {
+			return Permit{Hosts: roster.IDs(list.Hosts), list: list}, nil
+		}
+	}
 	list, err := roster.Read(ctx, l.Store)
 	if err != nil {
 		return Permit{}, err
 	}
-	return Permit{Hosts: roster.IDs(list.Hosts), Revision: list.Revision, list: list}, nil
+	return Permit{Hosts: roster.IDs(list.Hosts), list: list}, nil
 }
 
-// Enter implements Register. It fails with kind conflict if a host was added
-// since the permit was read, or if this host is no longer listed.
-func (l Ledger) Enter(ctx context.Context, permit Permit, engines []string, now time.Time) error {
+// Enter implements Register. The fencing number is the store's revision of the
+// entry. It fails with kind conflict if a host was added to the permit's list, or
+// if this host is no longer listed.
+func (l *Ledger) Enter(ctx context.Context, permit Permit, engines []string, now time.Time) (int64, error) {
+	var fence int64
 	value, err := json.Marshal(Record{AtMillis: now.UnixMilli(), Host: l.Self})
 	if err != nil {
-		return kind.Wrap(kind.Internal, err)
+		return 0, kind.Wrap(kind.Internal, err)
 	}
 	for start := 0; start < len(engines); start += maxRecords {
 		txn := kv.Txn{Conditions: permit.list.Unchanged(l.Self)}
@@ -66,17 +81,19 @@
 		}
 		result, err := l.Store.Commit(ctx, txn)
 		if err != nil {
-			return err
+			return 0, err
 		}
 		if !result.Committed {
-			return kind.New(kind.Conflict, "the list of hosts has changed")
+			l.refused.Store(permit.list.Epoch())
+			return 0, kind.New(kind.Conflict, "the list of hosts has changed")
 		}
+		fence = result.Revision
 	}
-	return nil
+	return fence, nil
 }
 
 // Records implements Register.
-func (l Ledger) Records(ctx context.Context) (map[string]Record, error) {
+func (l *Ledger) Records(ctx context.Context) (map[string]Record, error) {
 	entries, _, err := l.Store.List(ctx, recordPrefix)
 	if err != nil {
 		return nil, err
--- a/internal/rollout/loading/loading_test.go
+++ b/internal/rollout/loading/loading_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -180,21 +181,34 @@
 
 // register is a ledger behind a path that may be cut.
 type register struct {
-	loading.Ledger
+	*loading.Ledger
 
 	fleet *fleet
 }
 
-func (r register) Permit(ctx context.Context) (loading.Permit, error) {
+func (r register) cut() error {
 	r.fleet.mu.Lock()
-	away := r.fleet.away[r.Self]
-	r.fleet.mu.Unlock()
-	if away {
-		return loading.Permit{}, errors.New("cut off")
+	defer r.fleet.mu.Unlock()
+	if r.fleet.away[r.Self] {
+		return errors.New("cut off")
+	}
+	return nil
+}
+
+func (r register) Permit(ctx context.Context) (loading.Permit, error) {
+	if err := r.cut(); err != nil {
+		return loading.Permit{}, err
 	}
 	return r.Ledger.Permit(ctx)
 }
 
+func (r register) Enter(ctx context.Context, permit loading.Permit, engines []string, now time.Time) (int64, error) {
+	if err := r.cut(); err != nil {
+		return 0, err
+	}
+	return r.Ledger.Enter(ctx, permit, engines, now)
+}
+
 const spacing = 3 * time.Second
 
 func giver(self string, f *fleet, e *engines) *loading.Giver {
@@ -202,7 +216,7 @@
 	return &loading.Giver{
 		Config: func() *config.Config { return c }, Engines: e, Inventory: e.inv,
 		Logger: slog.New(slog.DiscardHandler), Self: self, Spacing: spacing,
-		Register: register{Ledger: loading.Ledger{Self: self, Store: f.store}, fleet: f},
+		Register: register{Ledger: &loading.Ledger{Self: self, Store: f.store}, fleet: f},
 	}
 }
 
@@ -273,16 +287,22 @@
 		f := newFleet()
 		defer f.set(t)
 		f.set(t, "h1")
-		ledger := loading.Ledger{Self: "h1", Store: f.store}
+		ledger := &loading.Ledger{Self: "h1", Store: f.store}
 		permit, err := ledger.Permit(t.Context())
 		is.NoErr(err)
-		is.NoErr(ledger.Enter(t.Context(), permit, []string{"a"}, time.Now()))
+		first, err := ledger.Enter(t.Context(), permit, []string{"a"}, time.Now())
+		is.NoErr(err)
+		second, err := ledger.Enter(t.Context(), permit, []string{"a"}, time.Now())
+		is.NoErr(err)
+		is.True(second > first) // each entry has a fencing number of its own
 		f.set(t, "h1", "h2")
-		is.True(kind.Is(ledger.Enter(t.Context(), permit, []string{"a"}, time.Now()), kind.Conflict))
+		_, err = ledger.Enter(t.Context(), permit, []string{"a"}, time.Now())
+		is.True(kind.Is(err, kind.Conflict))
 		permit, err = ledger.Permit(t.Context())
 		is.NoErr(err)
 		f.store.Remove(roster.Prefix + "h1")
-		is.True(kind.Is(ledger.Enter(t.Context(), permit, []string{"b"}, time.Now()), kind.Conflict))
+		_, err = ledger.Enter(t.Context(), permit, []string{"b"}, time.Now())
+		is.True(kind.Is(err, kind.Conflict))
 		records, err := ledger.Records(t.Context())
 		is.NoErr(err)
 		is.Equal(len(records), 1)
@@ -290,6 +310,50 @@
 	})
 }
 
+// TestPermitUsesTheKnownList orders without reading the list, until a host is
+// added of which this one has not heard: then the list is read.
+func TestPermitUsesTheKnownList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet()
+		defer f.set(t)
+		f.set(t, "h1")
+		var reads atomic.Int64
+		f.store.Inject(func(method string) kvmemory.Fault {
+			if method == "list" {
+				reads.Add(1)
+			}
+			return kvmemory.FaultNone
+		})
+		heard, err := roster.Read(t.Context(), f.store)
+		is.NoErr(err)
+		reads.Store(0)
+		ledger := &loading.Ledger{Known: func() roster.List { return heard }, Self: "h1", Store: f.store}
+		enter := func() ([]string, error) {
+			permit, err := ledger.Permit(t.Context())
+			is.NoErr(err)
+			_, err = ledger.Enter(t.Context(), permit, []string{"a"}, time.Now())
+			return permit.Hosts, err
+		}
+		_, err = enter()
+		is.NoErr(err)
+		is.Equal(reads.Load(), int64(0))
+		f.set(t, "h1", "h2")
+		_, err = enter()
+		is.True(kind.Is(err, kind.Conflict)) // the list that was heard of is too old
+		hosts, err := enter()
+		is.NoErr(err)
+		is.Equal(hosts, []string{"h1", "h2"})
+		is.Equal(reads.Load(), int64(1))
+		heard, err = roster.Read(t.Context(), f.store)
+		is.NoErr(err)
+		reads.Store(0)
+		_, err = enter()
+		is.NoErr(err)
+		is.Equal(reads.Load(), int64(0)) // the newer one will do again
+	})
+}
+
 // TestLostAnswerIsAskedFor loses the answers of all orders: the engine is asked
 // and the next order has the count that it told.
 func TestLostAnswerIsAskedFor(t *testing.T) {
