Leave a host's own server only once half of its slots are in use

A trial that logged requests and connections: 249 of 327 connections to the plain servers were a host's first one to a server beside its own. Requests that came at the same moment left the host's own server at one request in flight of six slots. A server now costs nothing more until half of its slots are in use.

--- a/internal/request/forward/policy.go
+++ b/internal/request/forward/policy.go
@@ -18,14 +18,17 @@
 	// shortestHedge keeps routes with a very short objective from doubling each
 	// request.
 	shortestHedge = 20 * time.Millisecond
-	// crossZoneCost and suspectCost are added to a server's share of used
-	// slots. A server in another zone is taken when it has about half a slot of
-	// six less in use, a suspect one only when all others are suspect or full.
+	// freeShare is the share of a server's slots up to which it is as fast as an
+	// idle one. Servers slow down only when they are nearly full, and what this
+	// host knows of their load is up to a second old.
+	freeShare = 0.5
+	// crossZoneCost and suspectCost are added to a server's share of used slots
+	// beyond that. A suspect server is taken only when all others are suspect.
 	crossZoneCost = 0.08
 	suspectCost   = 10
 	// strangeCost is added for all servers but one of each service, so that a
-	// host's requests come often enough there to find a kept connection. It is
-	// worth less than one request in flight at servers of up to twelve slots.
+	// host's requests come often enough there to find a kept connection. With
+	// crossZoneCost it is worth one request beyond the free share of six slots.
 	strangeCost = 0.08
 	// refusalsPerAttempt bounds the servers that are asked although others said
 	// that they are full.
@@ -100,7 +103,8 @@
 }
 
 func (a *attempts) cost(c inventory.Candidate, home string) float64 {
-	cost := float64(max(c.InFlight, c.Reported)+1) / float64(max(c.Slots, 1))
+	used := float64(max(c.InFlight, c.Reported)+1) / float64(max(c.Slots, 1))
+	cost := max(used-freeShare, 0)
 	if c.Zone != a.zone {
 		cost += crossZoneCost
 	}
