Read closed batches in the memory of their last owner

Nothing can be added to a closed batch, so its last owner keeps the results (6 MB at most, oldest dropped) and answers readers at other hosts, unless a write of results had no answer when it was closed or another host owned it by then; those are read at the store as before. An end now begins with the head that the host has heard of.

--- a/internal/rollout/batch/store.go
+++ b/internal/rollout/batch/store.go
@@ -264,23 +264,31 @@
 	return s.change(ctx, head, func(h *Head) { h.Owner = owner })
 }
 
-// End marks a batch as ended by its trainer. It has kind not-found if there is
-// no such batch.
-func (s *Store) End(ctx context.Context, id string) (Head, error) {
+// End marks a batch as ended by its trainer. known is the head as this host has
+// heard of it, or zero; one that is too old costs a read. It has kind not-found if
+// there is no such batch.
+func (s *Store) End(ctx context.Context, id string, known Head) (Head, error) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
+	head := known
 	for {
-		head, err := s.Head(ctx, id)
-		if err != nil || head.Ended {
-			return head, err
+		if head.Revision == 0 {
+			var err error
+			if head, err = s.Head(ctx, id); err != nil {
+				return head, err
+			}
+		}
+		if head.Ended {
+			return head, nil
 		}
 		ended, err := s.change(ctx, head, func(h *Head) { h.Ended = true })
-		if err == nil || !kind.Is(err, kind.Conflict) && !kind.Is(err, kind.StoreWriteUnknown) {
+		switch {
+		case err == nil || !kind.Is(err, kind.Conflict) && !kind.Is(err, kind.StoreWriteUnknown):
 			return ended, err
-		}
-		if !wait.Within(ctx, retryFirst) {
+		case !wait.Within(ctx, retryFirst):
 			return head, err
 		}
+		head = Head{}
 	}
 }
 
--- a/internal/rollout/batch/store_test.go
+++ b/internal/rollout/batch/store_test.go
@@ -113,14 +113,14 @@
 	store := &batch.Store{KV: &kvmemory.Store{}}
 	head, _, err := store.Accept(t.Context(), sample(2), ownerA)
 	is.NoErr(err)
-	ended, err := store.End(t.Context(), "x")
+	ended, err := store.End(t.Context(), "x", batch.Head{})
 	is.NoErr(err)
 	is.True(ended.Ended)
-	_, err = store.End(t.Context(), "x")
+	_, err = store.End(t.Context(), "x", batch.Head{})
 	is.NoErr(err) // ending again is a success
 	_, err = store.Append(t.Context(), head, 0, results(0, 1), false)
 	is.True(kind.Is(err, kind.Conflict))
-	_, err = store.End(t.Context(), "y")
+	_, err = store.End(t.Context(), "y", batch.Head{})
 	is.True(kind.Is(err, kind.NotFound))
 }
 
--- a/internal/rollout/batchrun/batchrun_test.go
+++ b/internal/rollout/batchrun/batchrun_test.go
@@ -380,7 +380,7 @@
 	owner := batch.Owner{Host: "a", Incarnation: "1"}
 	head, _, err := batches.Accept(t.Context(), sample(2), owner)
 	is.NoErr(err)
-	_, err = batches.End(t.Context(), "x")
+	_, err = batches.End(t.Context(), "x", batch.Head{})
 	is.NoErr(err)
 	inv := &inventory.Inventory{}
 	inv.Set(inventory.Server{
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -47,6 +47,7 @@
 	Self   batch.Owner
 
 	mu       sync.Mutex
+	closed   closedResults
 	draining bool
 	group    *errgroup.Group
 	metrics  instruments
@@ -107,6 +108,7 @@
 	x := newRun(r, head, b, listed, partials)
 	x.ctx, x.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	r.runs[head.ID] = x
+	r.closed.drop(head.ID)
 	r.Logger.LogAttrs(ctx, slog.LevelInfo, "batch adopted", slog.String("batch", head.ID),
 		slog.String("model", b.Model), slog.Int64("step", b.Step), slog.Int64("min-version", b.MinVersion),
 		slog.Int("items", len(b.Items)), slog.Int("target-groups", b.TargetGroups), slog.Int("listed", len(listed)), slog.Int("partial", len(partials)),
@@ -152,6 +154,7 @@
 		return
 	}
 	delete(r.runs, head.ID)
+	r.keepClosed(x, head)
 	x.cancel()
 	done, running, started := x.count()
 	r.Logger.Info("batch stopped", slog.String("batch", head.ID), slog.Bool("ended", head.Ended),
@@ -161,14 +164,16 @@
 }
 
 // Page returns the listed results from position after on, waiting for one until
-// ctx ends. It returns false if this host doesn't run the batch any more.
+// ctx ends or the batch is closed. It returns false if this host neither runs the
+// batch nor has its final results.
 func (r *Runner) Page(ctx context.Context, id string, after int) (batch.Page, bool) {
 	for {
 		r.mu.Lock()
 		x := r.runs[id]
 		if x == nil {
+			page, ok := r.closed.page(id, after)
 			r.mu.Unlock()
-			return batch.Page{}, false
+			return page, ok
 		}
 		listed, changed, total := x.listed, x.changed, x.head.Total
 		r.mu.Unlock()
@@ -179,7 +184,10 @@
 		case <-changed:
 		case <-x.ctx.Done():
 			// The batch is being handed over or has ended.
-			return batch.Page{}, false
+			r.mu.Lock()
+			page, ok := r.closed.page(id, after)
+			r.mu.Unlock()
+			return page, ok
 		case <-ctx.Done():
 			return batch.Page{Next: after, Total: total}, true
 		}
--- a/internal/rollout/batchrun/service.go
+++ b/internal/rollout/batchrun/service.go
@@ -165,15 +165,15 @@
 	return batch.Cut(results, head.Total, after), nil
 }
 
-// readAtOwner reads results in the memory of the batch's owner. It returns false
-// if the store has to be asked.
+// readAtOwner reads results in the memory of the batch's owner, or of its last
+// one if it is closed. It returns false if the store has to be asked.
 func (s *Service) readAtOwner(ctx context.Context, head batch.Head, after int) (batch.Page, bool) {
 	owner, ok := s.Roster.Get(head.Owner.Host)
-	if s.Link == nil || !head.IsOpen() || !ok || owner.Incarnation != head.Owner.Incarnation || owner.Peer == "" {
+	if s.Link == nil || !ok || owner.ID == s.Runner.Self.Host || owner.Incarnation != head.Owner.Incarnation || owner.Peer == "" {
 		return batch.Page{}, false
 	}
 	var wait time.Duration
-	if deadline, ok := ctx.Deadline(); ok {
+	if deadline, ok := ctx.Deadline(); ok && head.IsOpen() {
 		wait = max(time.Until(deadline), 0)
 	}
 	page, ok, err := s.Link.Read(ctx, owner.Peer, head.ID, after, wait)
@@ -205,7 +205,8 @@
 
 // End stops a batch. Ending it again is a success.
 func (s *Service) End(ctx context.Context, id string) error {
-	head, err := s.Batches.End(ctx, id)
+	known, _ := s.Index.Get(id)
+	head, err := s.Batches.End(ctx, id, known)
 	if err != nil {
 		s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch not ended", slog.String("batch", id), slog.Any("error", err))
 		return err
