Let a fleet that starts know its hosts before it watches the store

An empty old list now only gives the other hosts time to be listed; then each host follows a reader, whose first answer from the store is waited for. Tests: a question to a host that starts waits for its list; an old list without a revision is not used.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -244,8 +244,8 @@
 		h.Batches.Index.Apply(c)
 	}}
 	mirrors := []*mirror.Mirror{
-		{Old: h.store, OnChange: h.applyOperators, Prefix: prefixes.Operators, Settle: settleTime, Wait: operatorsWait},
-		{Gather: gatherChanges, Old: h.store, OnChange: h.servers.apply, Prefix: prefixes.Servers, Settle: settleTime, Wait: sharedWait},
+		{OnChange: h.applyOperators, Prefix: prefixes.Operators, Wait: operatorsWait},
+		{Gather: gatherChanges, OnChange: h.servers.apply, Prefix: prefixes.Servers, Wait: sharedWait},
 		h.live,
 	}
 	compaction := new(mirror.Compaction)
@@ -253,6 +253,7 @@
 		m.Compaction, m.Logger, m.Store = compaction, h.Logger, h.store
 		if h.Settings.PeerAddress != "" {
 			m.Source = &follow.Source{Pool: h.peers, Roster: h.roster, Self: h.Settings.ID}
+			m.Old, m.Settle = h.store, settleTime
 		}
 	}
 	return mirrors
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -133,7 +133,7 @@
 		m.Compaction = new(Compaction)
 	}
 	pause := retryFirst
-	var watcher kv.Watcher
+	watcher := m.begin(ctx)
 	var lostSince time.Time
 	for ctx.Err() == nil {
 		next, err := m.step(ctx, watcher, lostSince)
@@ -159,6 +159,27 @@
 	return nil
 }
 
+// begin takes over an old list, if there is one, and gives the other hosts time to
+// be known. It returns the watcher that goes on from the list; nil if the store
+// tells nothing old, as when the whole fleet starts.
+func (m *Mirror) begin(ctx context.Context) kv.Watcher {
+	if m.Old == nil {
+		return nil
+	}
+	var watcher kv.Watcher
+	entries, revision, err := m.Old.ListOld(ctx, m.Prefix)
+	if err == nil && revision > 0 {
+		m.apply(m.difference(entries), revision, 0)
+		watcher, err = m.Store.Watch(ctx, m.Prefix, revision)
+	}
+	if err != nil {
+		m.Logger.LogAttrs(ctx, slog.LevelInfo, "no old list", slog.String("prefix", m.Prefix), slog.Any("error", err))
+		return nil
+	}
+	wait.For(ctx, m.Settle)
+	return watcher
+}
+
 // step lists when there is no watcher, and otherwise waits for one batch.
 func (m *Mirror) step(ctx context.Context, watcher kv.Watcher, lostSince time.Time) (kv.Watcher, error) {
 	gone := m.Compaction.Gone()
@@ -166,29 +187,19 @@
 		// The watch goes on from where the other host left off.
 		return m.Store.Watch(ctx, m.Prefix, m.at())
 	}
-	if watcher == nil && m.Old != nil && m.at() == 0 {
-		entries, revision, err := m.Old.ListOld(ctx, m.Prefix)
-		if err == nil && revision > 0 {
-			m.apply(m.difference(entries), revision, outageSince(lostSince))
-			wait.For(ctx, m.Settle)
-			return m.Store.Watch(ctx, m.Prefix, revision)
-		}
-	}
 	if watcher == nil {
 		entries, revision, err := m.Store.List(ctx, m.Prefix)
 		if err != nil {
 			return nil, err
 		}
-		m.apply(m.difference(entries), revision, outageSince(lostSince))
-		m.confirm()
+		m.confirm(m.difference(entries), revision, outageSince(lostSince))
 		return m.Store.Watch(ctx, m.Prefix, revision)
 	}
 	batch, err := m.next(ctx, watcher, gone)
 	if err != nil {
 		return nil, err
 	}
-	m.apply(batch.Events, batch.Revision, outageSince(lostSince))
-	m.confirm()
+	m.confirm(batch.Events, batch.Revision, outageSince(lostSince))
 	if len(batch.Events) > 0 && m.Gather > 0 {
 		wait.For(ctx, m.Gather)
 	}
@@ -232,30 +243,27 @@
 	return m.revision
 }
 
-func (m *Mirror) confirm() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.confirmed = time.Now()
-}
-
 // Since returns what changed after revision, for hosts that follow this one. It
-// waits for a change until ctx ends. It returns false if the store has not
-// answered this host for longer than maxAge.
+// waits for a change until ctx ends, and for the first answer of the store on a
+// host that has just started. It returns false if the store has not answered this
+// host for longer than maxAge.
 func (m *Mirror) Since(ctx context.Context, revision int64, maxAge time.Duration) (News, bool) {
 	for {
 		m.mu.Lock()
-		if time.Since(m.confirmed) > maxAge || revision > m.revision {
+		begins := m.confirmed.IsZero() && m.revision == 0 && m.Old != nil
+		if !begins && (time.Since(m.confirmed) > maxAge || revision > m.revision) {
 			m.mu.Unlock()
 			return News{}, false
 		}
 		news, found := m.newsSince(revision)
+		found = found && !begins
 		if m.changed == nil {
 			m.changed = make(chan struct{})
 		}
 		changed := m.changed
 		m.mu.Unlock()
 		if found || ctx.Err() != nil {
-			return news, true
+			return news, !begins
 		}
 		select {
 		case <-changed:
@@ -344,6 +352,33 @@
 
 func (m *Mirror) apply(events []kv.Event, revision int64, outage time.Duration) {
 	m.mu.Lock()
+	m.take(events, revision)
+	m.mu.Unlock()
+	m.tell(events, outage)
+}
+
+// confirm applies what the store itself answered.
+func (m *Mirror) confirm(events []kv.Event, revision int64, outage time.Duration) {
+	m.mu.Lock()
+	m.take(events, revision)
+	if m.confirmed.IsZero() && m.changed != nil {
+		// Those who wait for the first answer are told, whatever it holds.
+		close(m.changed)
+		m.changed = nil
+	}
+	m.confirmed = time.Now()
+	m.mu.Unlock()
+	m.tell(events, outage)
+}
+
+func (m *Mirror) tell(events []kv.Event, outage time.Duration) {
+	if m.OnChange != nil && (len(events) > 0 || outage > 0) {
+		m.OnChange(Change{Events: events, Outage: outage})
+	}
+}
+
+// take takes over events up to revision. m.mu is held.
+func (m *Mirror) take(events []kv.Event, revision int64) {
 	if m.known == nil {
 		m.known = make(map[string]kv.Entry)
 		m.recentFrom = revision
@@ -369,10 +404,6 @@
 		close(m.changed)
 		m.changed = nil
 	}
-	m.mu.Unlock()
-	if m.OnChange != nil && (len(events) > 0 || outage > 0) {
-		m.OnChange(Change{Events: events, Outage: outage})
-	}
 }
 
 // Entry returns the copy of key, and false when the copy has none.
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -270,15 +270,41 @@
 	})
 }
 
-// TestOldListWithoutRevisionIsNotUsed begins with a service that knows nothing.
+// TestOldListWithoutRevisionIsNotUsed begins with a service that knows nothing:
+// after the pause the store is listed.
 func TestOldListWithoutRevisionIsNotUsed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &kvmemory.Store{}
 		put(t, store, "a/x", "1")
 		r := &recorder{}
-		stop := start(t, &mirror.Mirror{Old: oldList{}, OnChange: r.onChange, Prefix: "a/", Settle: time.Hour, Store: store})
+		stop := start(t, &mirror.Mirror{Old: oldList{}, OnChange: r.onChange, Prefix: "a/", Settle: time.Second, Store: store})
 		defer stop()
-		time.Sleep(time.Second)
+		time.Sleep(1500 * time.Millisecond)
 		is.New(t).Equal(r.get("a/x"), "1")
 	})
 }
+
+// TestFollowersOfAHostThatStarts asks a host for news before it has listed: the
+// question waits for the list.
+func TestFollowersOfAHostThatStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &kvmemory.Store{}
+		put(t, store, "a/x", "1")
+		m := &mirror.Mirror{Old: oldList{}, Prefix: "a/", Settle: time.Second, Store: store}
+		stop := start(t, m)
+		defer stop()
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		_, ok := m.Since(ctx, 0, time.Second)
+		is.True(!ok) // nothing is known yet
+		ctx, cancel = context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		began := time.Now()
+		news, ok := m.Since(ctx, 0, time.Second)
+		is.True(ok)
+		is.True(news.Reset)
+		is.Equal(len(news.Events), 1)
+		is.Equal(time.Since(began), 500*time.Millisecond)
+	})
+}
