Let a leaving host end the batches that it runs

Each owner gave its batches up at once, and the next one was often told to stop a moment later; batches that were given up while the store was away waited for its return. A host that is told to stop now takes no new batches and lets those that it runs go on for the 4.3 s that are left before the time for a handover; callers' listeners are closed as before, beside it. Test: a batch under way ends where it was, another one is not adopted.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -18,6 +18,7 @@
 	"github.com/nutmegway/nutmegway/internal/backend/plain"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/base/rendezvous"
+	"github.com/nutmegway/nutmegway/internal/base/wait"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/external/kvrelay"
 	"github.com/nutmegway/nutmegway/internal/external/kvrelay/kvrelaypb"
@@ -56,6 +57,9 @@
 	leaveWait = 3 * time.Second
 	// stopMargin is left of the grace when requests in flight are cut.
 	stopMargin = 700 * time.Millisecond
+	// handoverTime is left of it when batches that still run are handed over: two
+	// seconds for the calls and one for a busy machine.
+	handoverTime = 3 * time.Second
 )
 
 // Prefixes are the prefixes of keys that others write.
@@ -349,17 +353,27 @@
 	h.roster.Leave()
 	stopDuties()
 	h.Logger.LogAttrs(ctx, slog.LevelInfo, "host leaves", slog.Int("batches", h.runner.Running()))
-	h.runner.Drain(ctx)
-	timer := time.NewTimer(leaveWait - time.Since(began))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-	shutdownCtx, cancel := context.WithTimeout(ctx, h.Settings.grace()-stopMargin-time.Since(began))
+	shutdownCtx, cancel := context.WithTimeout(ctx, h.Settings.grace()-stopMargin)
 	defer cancel()
+	var group errgroup.Group
+	group.Go(func() error {
+		h.finishBatches(ctx)
+		return nil
+	})
+	wait.For(ctx, leaveWait-time.Since(began))
 	listeners.shutdown(shutdownCtx)
+	_ = group.Wait() // It returns no error.
 	if err := h.roster.Withdraw(shutdownCtx); err != nil {
 		h.Logger.LogAttrs(ctx, slog.LevelInfo, "host entry not withdrawn", slog.Any("error", err))
 	}
 }
+
+// finishBatches lets the batches of this host end as long as there is time to hand
+// over what is left of them.
+func (h *Host) finishBatches(ctx context.Context) {
+	runOn := max(h.Settings.grace()-stopMargin-handoverTime, 0)
+	finishCtx, cancel := context.WithTimeout(ctx, runOn)
+	defer cancel()
+	h.runner.Finish(finishCtx)
+	h.runner.Drain(ctx)
+}
--- a/internal/rollout/batchrun/batchrun_test.go
+++ b/internal/rollout/batchrun/batchrun_test.go
@@ -312,6 +312,45 @@
 	is.True(requests[1] == "x-i0@2" || requests[1] == "x-i0@3") // it goes on and does not begin anew
 }
 
+// TestLeavingHostFinishes lets a host that was told to stop end what it runs, so
+// that no item moves, and lets it take nothing new.
+func TestLeavingHostFinishes(t *testing.T) {
+	is := is.New(t)
+	store := &kvmemory.Store{}
+	engine := newEngine(t)
+	reached, release := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	engine.handle = func(http.ResponseWriter, *http.Request) bool {
+		once.Do(func() { close(reached) })
+		<-release
+		return false
+	}
+	a, b := newHost(t, "a", store, engine), newHost(t, "b", store, engine)
+	is.NoErr(a.service.Submit(t.Context(), sample(1)))
+	<-reached
+	finished := make(chan struct{})
+	var group errgroup.Group
+	group.Go(func() error {
+		a.service.Runner.Finish(t.Context())
+		close(finished)
+		return nil
+	})
+	other := sample(1)
+	other.ID = "y"
+	for a.service.Adopt(t.Context(), batch.Head{ID: other.ID, Owner: a.service.Runner.Self, Total: 1}, other) {
+		other.ID += "y" // it came before Finish; the next one is refused
+	}
+	select {
+	case <-finished:
+		t.Error("the host has not waited for its batch")
+	default:
+	}
+	close(release)
+	is.NoErr(group.Wait())
+	a.stop()
+	checkWhole(t, readAll(t, b.service), 1)
+}
+
 // TestOnlyClosedStreamsGoOn has kept texts of a batch whose owner before was
 // killed and came back, or is only silent: in the second case its streams may be
 // open still, so the item begins anew.
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -29,6 +29,8 @@
 	// eventWait is the longest pause of a sound stream: an engine makes an event
 	// in 40 ms, and in 160 ms when it is slowed four times.
 	eventWait = time.Second
+	// finishInterval is how often a leaving host looks whether its batches are closed.
+	finishInterval = 20 * time.Millisecond
 	// handoverTimeout bounds the calls by which a leaving host gives one batch up.
 	handoverTimeout = 2 * time.Second
 )
@@ -49,6 +51,8 @@
 	mu       sync.Mutex
 	closed   closedResults
 	draining bool
+	// finishing is set once this host takes no new batches.
+	finishing bool
 	group    *errgroup.Group
 	metrics  instruments
 	runs     map[string]*run
@@ -102,7 +106,7 @@
 ) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, running := r.runs[head.ID]; running || r.draining {
+	if _, running := r.runs[head.ID]; running || r.finishing {
 		return
 	}
 	x := newRun(r, head, b, listed, partials)
@@ -242,11 +246,29 @@
 	}
 }
 
+// Finish takes no new batches and lets those that this host runs go on until they
+// are closed or ctx ends. Most steps end sooner than a host must, and a batch that
+// moves costs its new owner connections to all its engines.
+func (r *Runner) Finish(ctx context.Context) {
+	r.mu.Lock()
+	r.finishing = true
+	r.mu.Unlock()
+	ticker := time.NewTicker(finishInterval)
+	defer ticker.Stop()
+	for r.Running() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // Drain stops all items and gives the batches up, so that other hosts go on
 // with what was received.
 func (r *Runner) Drain(ctx context.Context) {
 	r.mu.Lock()
-	r.draining = true
+	r.draining, r.finishing = true, true
 	runs := slices.Collect(maps.Values(r.runs))
 	r.mu.Unlock()
 	group, ctx := errgroup.WithContext(ctx)
