Refuse relayed calls while the store is away for the host itself

Cause: a call that the store refuses goes on to two other hosts, each of which asks the store again. A host to which the store was away a moment ago now refuses what others send on; it asks the store twice a second instead of once. Test: ten reads and writes of a host cost the store one call from each of two hosts; before, each was passed on.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -113,10 +113,12 @@
 	leaving   atomic.Bool
 	peers     *peer.Pool
 	live      *mirror.Mirror
-	retired   retirements
-	roster    *roster.Roster
-	runner    *batchrun.Runner
-	servers   *serverFeed
+	// relayed is the key-value service by way of other hosts, too.
+	relayed *kvrelay.Store
+	retired retirements
+	roster  *roster.Roster
+	runner  *batchrun.Runner
+	servers *serverFeed
 	// store is the key-value service by any way.
 	store kv.RangeStore
 }
@@ -129,7 +131,8 @@
 	h.peers = &peer.Pool{Options: peer.LocalOptions()}
 	h.store = h.Direct
 	if h.Settings.PeerAddress != "" {
-		h.store = &kvrelay.Store{Direct: h.Direct, Logger: h.Logger, Peers: h}
+		h.relayed = &kvrelay.Store{Direct: h.Direct, Logger: h.Logger, Peers: h}
+		h.store = h.relayed
 	}
 	h.servers = &serverFeed{Documents: h.Documents, Inventory: h.inventory, Logger: h.Logger}
 	h.Forwarder = &forward.Forwarder{
@@ -194,7 +197,7 @@
 		server := &peer.Server{Address: h.Settings.PeerAddress, Register: func(s *grpc.Server) {
 			batchlink.Register(s, h.Batches)
 			follow.Register(s, mirrors)
-			kvrelay.Register(s, h.Direct)
+			kvrelay.Register(s, h.relayed)
 		}}
 		group.Go(func() error { return server.Run(groupCtx) })
 		defer func() { _ = h.peers.Close() }()
--- a/internal/external/kvrelay/kvrelay.go
+++ b/internal/external/kvrelay/kvrelay.go
@@ -20,8 +20,10 @@
 
 const (
 	// directPause is how long calls go through other hosts after the service
-	// itself failed. Then one call tries the service again.
-	directPause = time.Second
+	// itself failed. Then one call tries the service again. All hosts together
+	// make two calls each a second while it is away, and priced calls are those
+	// that it refuses too.
+	directPause = 500 * time.Millisecond
 	// callTimeout bounds a relayed call: two hops between hosts and one call of
 	// the service.
 	callTimeout = 900 * time.Millisecond
--- a/internal/external/kvrelay/kvrelay_test.go
+++ b/internal/external/kvrelay/kvrelay_test.go
@@ -82,7 +82,7 @@
 		t.Fatal(err)
 	}
 	server := grpc.NewServer()
-	kvrelay.Register(server, other)
+	kvrelay.Register(server, &kvrelay.Store{Direct: other, Logger: slog.New(slog.DiscardHandler)})
 	var group errgroup.Group
 	group.Go(func() error { return server.Serve(listener) })
 	conn, err := grpc.NewClient(listener.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
@@ -143,6 +143,23 @@
 	is.Equal(other.calls.Load(), int64(5))
 }
 
+// TestRelayedCallsDoNotMultiplyAnOutage has a service that is away for all hosts:
+// each asks it once, whatever the others send on to it.
+func TestRelayedCallsDoNotMultiplyAnOutage(t *testing.T) {
+	is := is.New(t)
+	store, own, other := newPair(t)
+	own.err.Store(kind.New(kind.StoreUnavailable, "refused"))
+	other.err.Store(kind.New(kind.StoreUnavailable, "refused"))
+	for range 10 {
+		_, err := store.Get(t.Context(), "a")
+		is.True(kind.Is(err, kind.StoreUnavailable)) // a read may be tried again
+		_, err = store.Commit(t.Context(), kv.Txn{})
+		is.True(kind.Is(err, kind.StoreUnavailable)) // and so may a write that was refused
+	}
+	is.Equal(own.calls.Load(), int64(1))
+	is.Equal(other.calls.Load(), int64(1))
+}
+
 func TestRelayedWatch(t *testing.T) {
 	is := is.New(t)
 	store, own, _ := newPair(t)
--- a/internal/external/kvrelay/server.go
+++ b/internal/external/kvrelay/server.go
@@ -6,27 +6,45 @@
 
 	"google.golang.org/grpc"
 
+	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/external/kvrelay/kvrelaypb"
 )
 
-// Register serves relayed calls from store, which must be the service itself
-// and not a relay.
-func Register(server *grpc.Server, store kv.RangeStore) {
+// Register serves relayed calls by the service itself, as store reaches it. While
+// it doesn't, they are refused at once: when the service is away for all hosts,
+// relayed calls would only multiply those that it refuses.
+func Register(server *grpc.Server, store *Store) {
 	kvrelaypb.RegisterRelayServer(server, handler{store: store})
 }
 
 type handler struct {
 	kvrelaypb.UnimplementedRelayServer
 
-	store kv.RangeStore
+	store *Store
+}
+
+// try calls the service unless it was away for this host a moment ago.
+func (h handler) try(ctx context.Context, call func(kv.RangeStore) error) error {
+	if !h.store.isDirect() {
+		return kind.New(kind.StoreUnavailable, "the store is away for this host too")
+	}
+	err := call(h.store.Direct)
+	if ctx.Err() == nil {
+		h.store.noteDirect(err)
+	}
+	return err
 }
 
 var _ kvrelaypb.RelayServer = handler{}
 
 // Commit implements kvrelaypb.RelayServer.
 func (h handler) Commit(ctx context.Context, r *kvrelaypb.CommitRequest) (*kvrelaypb.CommitReply, error) {
-	result, err := h.store.Commit(ctx, txnFromPB(r))
+	var result kv.TxnResult
+	err := h.try(ctx, func(store kv.RangeStore) (err error) {
+		result, err = store.Commit(ctx, txnFromPB(r))
+		return err
+	})
 	return &kvrelaypb.CommitReply{
 		Committed: result.Committed, Current: entriesToPB(result.Current), Failure: failureToPB(err), Revision: result.Revision,
 	}, nil
@@ -34,41 +52,64 @@
 
 // Get implements kvrelaypb.RelayServer.
 func (h handler) Get(ctx context.Context, r *kvrelaypb.GetRequest) (*kvrelaypb.EntriesReply, error) {
-	entry, err := h.store.Get(ctx, r.GetKey())
+	var entry kv.Entry
+	err := h.try(ctx, func(store kv.RangeStore) (err error) {
+		entry, err = store.Get(ctx, r.GetKey())
+		return err
+	})
 	return &kvrelaypb.EntriesReply{Entries: entriesToPB([]kv.Entry{entry}), Failure: failureToPB(err)}, nil
 }
 
 // GrantLease implements kvrelaypb.RelayServer.
 func (h handler) GrantLease(ctx context.Context, r *kvrelaypb.LeaseRequest) (*kvrelaypb.LeaseReply, error) {
-	id, err := h.store.GrantLease(ctx, time.Duration(r.GetTtlMillis())*time.Millisecond)
+	var id kv.LeaseID
+	err := h.try(ctx, func(store kv.RangeStore) (err error) {
+		id, err = store.GrantLease(ctx, time.Duration(r.GetTtlMillis())*time.Millisecond)
+		return err
+	})
 	return &kvrelaypb.LeaseReply{Failure: failureToPB(err), Lease: int64(id)}, nil
 }
 
 // KeepAlive implements kvrelaypb.RelayServer.
 func (h handler) KeepAlive(ctx context.Context, r *kvrelaypb.LeaseRequest) (*kvrelaypb.LeaseReply, error) {
-	ttl, err := h.store.KeepAlive(ctx, kv.LeaseID(r.GetLease()))
+	var ttl time.Duration
+	err := h.try(ctx, func(store kv.RangeStore) (err error) {
+		ttl, err = store.KeepAlive(ctx, kv.LeaseID(r.GetLease()))
+		return err
+	})
 	return &kvrelaypb.LeaseReply{Failure: failureToPB(err), TtlMillis: ttl.Milliseconds()}, nil
 }
 
 // List implements kvrelaypb.RelayServer.
 func (h handler) List(ctx context.Context, r *kvrelaypb.ListRequest) (*kvrelaypb.EntriesReply, error) {
-	entries, revision, err := h.store.ListAfter(ctx, r.GetPrefix(), r.GetAfter())
+	var entries []kv.Entry
+	var revision int64
+	err := h.try(ctx, func(store kv.RangeStore) (err error) {
+		entries, revision, err = store.ListAfter(ctx, r.GetPrefix(), r.GetAfter())
+		return err
+	})
 	return &kvrelaypb.EntriesReply{Entries: entriesToPB(entries), Failure: failureToPB(err), Revision: revision}, nil
 }
 
 // RevokeLease implements kvrelaypb.RelayServer.
 func (h handler) RevokeLease(ctx context.Context, r *kvrelaypb.LeaseRequest) (*kvrelaypb.LeaseReply, error) {
-	return &kvrelaypb.LeaseReply{Failure: failureToPB(h.store.RevokeLease(ctx, kv.LeaseID(r.GetLease())))}, nil
+	err := h.try(ctx, func(store kv.RangeStore) error { return store.RevokeLease(ctx, kv.LeaseID(r.GetLease())) })
+	return &kvrelaypb.LeaseReply{Failure: failureToPB(err)}, nil
 }
 
 // Watch implements kvrelaypb.RelayServer.
 func (h handler) Watch(ctx context.Context, r *kvrelaypb.WatchRequest) (*kvrelaypb.WatchReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.GetWaitMillis())*time.Millisecond)
 	defer cancel()
-	watcher, err := h.store.Watch(ctx, r.GetPrefix(), r.GetRevision())
-	if err != nil {
-		return watchToPB(kv.Batch{}, err), nil
-	}
-	defer watcher.Close()
-	return watchToPB(watcher.Next(ctx)), nil
+	var batch kv.Batch
+	err := h.try(ctx, func(store kv.RangeStore) error {
+		watcher, err := store.Watch(ctx, r.GetPrefix(), r.GetRevision())
+		if err != nil {
+			return err
+		}
+		defer watcher.Close()
+		batch, err = watcher.Next(ctx)
+		return err
+	})
+	return watchToPB(batch, err), nil
 }
