--- a/internal/lab/soak/player.go
+++ b/internal/lab/soak/player.go
@@ -15,6 +15,9 @@
 const (
 	linkDelay  = 300 * time.Millisecond
 	storeDelay = 250 * time.Millisecond
+	// burstFactor is how many times the slots of all plain servers a burst has
+	// requests.
+	burstFactor = 3
 	// troubleCount is how many requests of a server a trouble befalls at most.
 	troubleCount = 4
 	// loseEach is which of the store's calls loses its answer: one of so many.
@@ -58,6 +61,8 @@
 	switch event.Action {
 	case ActionAllKill:
 		return r.killAll(ctx, event)
+	case ActionCallerBurst:
+		return r.burst(ctx)
 	case ActionHostKill, ActionHostPause, ActionHostReload, ActionHostSeries, ActionHostStop:
 		if !n.busy.TryLock() {
 			return nil
@@ -80,6 +85,19 @@
 	return nil
 }
 
+// burst sends more requests at once than the servers have slots, so that some are
+// refused.
+func (r *run) burst(ctx context.Context) error {
+	var group errgroup.Group
+	for range burstFactor * plainCount * plainSlots {
+		group.Go(func() error {
+			r.send(ctx, r.anyNode(), neverPrefix, platformtest.RepeatNever)
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
 func (r *run) troubleHost(ctx context.Context, n *node, event Event) error {
 	switch event.Action {
 	case ActionHostReload:
--- a/internal/lab/soak/schedule.go
+++ b/internal/lab/soak/schedule.go
@@ -13,6 +13,7 @@
 // The actions.
 const (
 	ActionAllKill         Action = "all-kill"
+	ActionCallerBurst     Action = "caller-burst"
 	ActionHostKill        Action = "host-kill"
 	ActionHostPause       Action = "host-pause"
 	ActionHostReload      Action = "host-reload"
@@ -56,7 +57,7 @@
 }
 
 const (
-	// A cycle is a storm, a calm that is longer than the time after which promises
+	// A cycle is a burst of callers and a storm, a calm that is longer than the time after which promises
 	// hold again, one planned stop, and a calm in which it ends.
 	stormTime = 8 * time.Second
 	calmTime  = 8 * time.Second
@@ -92,6 +93,7 @@
 	var events []Event
 	var bag []Action
 	for cycle := time.Duration(0); cycle+cycleTime <= length; cycle += cycleTime {
+		events = append(events, Event{Action: ActionCallerBurst, At: cycle})
 		for at := cycle; at < cycle+stormTime; at += stormEvery {
 			count := 1
 			if random.IntN(twiceIn) == 0 {
