Name the servers of a request that was not served, and play two stories

The story of a request whose time was up at a server didn't name that server. Two tests play a fault with the stand-in of the platform and read the story that explain tells: an engine that fails each run of an item, a server that never answers.

--- /dev/null
+++ b/cmd/nutmegway/story_test.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegway/nutmegway/internal/entry/host"
+	"github.com/nutmegway/nutmegway/platform/platformtest"
+)
+
+// playedHost is a host on a stand-in for the platform, with one engine and one
+// plain server, and its log.
+type playedHost struct {
+	caller  platformtest.Caller
+	engine  *platformtest.Server
+	log     lockedBuffer
+	plain   *platformtest.Server
+	address string
+	stop    func()
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func play(t *testing.T) *playedHost {
+	t.Helper()
+	is := is.New(t)
+	store := &platformtest.Store{}
+	serve := func(handler http.Handler) string {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		return strings.TrimPrefix(server.URL, "http://")
+	}
+	h := &playedHost{caller: platformtest.Caller{Host: "example", HTTP: &http.Client{}}}
+	h.engine = &platformtest.Server{EventTime: time.Millisecond, Model: "m", Name: "engine", Service: "gen", Slots: 4, Store: &store.Memory}
+	h.plain = &platformtest.Server{Name: "record", Service: "app", Slots: 4, Store: &store.Memory}
+	for _, s := range []*platformtest.Server{h.engine, h.plain} {
+		s.Address = serve(s)
+		is.NoErr(s.Start())
+	}
+	is.NoErr(platformtest.Configure(store, 1, []platformtest.Route{
+		{Host: "example", Prefix: "/b/", Service: "gen", Repeat: platformtest.RepeatBatch, Timeout: time.Second},
+		{Host: "example", Prefix: "/n/", Service: "app", Repeat: platformtest.RepeatNever, Timeout: 200 * time.Millisecond},
+	}, map[string]string{"gen": "m", "app": ""}))
+	settings := host.Settings{
+		CallerAddress: freeAddress(t), Grace: 8 * time.Second, ID: "h1", PeerAddress: freeAddress(t), ReadyAddress: freeAddress(t),
+		StoreAddress: serve(store), Zone: "z",
+	}
+	h.address = settings.CallerAddress
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return runHost(ctx, "", settings, slog.LevelInfo, &h.log) })
+	h.stop = func() {
+		cancel()
+		is.NoErr(group.Wait())
+	}
+	for !h.caller.Ready(t.Context(), settings.ReadyAddress) {
+		time.Sleep(5 * time.Millisecond) // The test's own time limit ends a wait for ever.
+	}
+	return h
+}
+
+// story stops the host and returns what explain tells of an id.
+func (h *playedHost) story(t *testing.T, id string) string {
+	t.Helper()
+	h.stop()
+	path := filepath.Join(t.TempDir(), "h1.log")
+	is := is.New(t)
+	is.NoErr(os.WriteFile(path, []byte(h.log.String()), 0o600))
+	var out bytes.Buffer
+	is.NoErr(explain(&out, id, []string{path}))
+	return out.String()
+}
+
+// TestStoryOfADeadItem plays an engine that fails every run of an item.
+func TestStoryOfADeadItem(t *testing.T) {
+	is := is.New(t)
+	h := play(t)
+	h.engine.Meet(platformtest.TroubleFails, platformtest.MaxAttempts)
+	batch := platformtest.Batch{Groups: 1, ID: "b1", Items: []platformtest.Item{{Body: "3", Group: "g", ID: "i1"}}, MinVersion: 1, Model: "m", Prefix: "/b/"}
+	answer, err := h.caller.Submit(t.Context(), h.address, batch)
+	is.NoErr(err)
+	is.Equal(answer.Status, http.StatusAccepted)
+	for {
+		page, _, err := h.caller.Read(t.Context(), h.address, "b1", 0)
+		is.NoErr(err)
+		if len(page.Results) == 1 {
+			is.True(!page.Results[0].Completed)
+			break
+		}
+	}
+	story := h.story(t, "i1")
+	is.True(strings.Contains(story, `"batch accepted" batch=b1`)) // who took it
+	is.Equal(strings.Count(story, "item=i1 batch=b1 server=engine-1 outcome=failed"), platformtest.MaxAttempts)
+}
+
+// TestStoryOfALateRequest plays a server that never answers.
+func TestStoryOfALateRequest(t *testing.T) {
+	is := is.New(t)
+	h := play(t)
+	h.plain.Meet(platformtest.TroubleSilent, 1)
+	answer, err := h.caller.Send(t.Context(), h.address, http.MethodPost, "/n/x", "r1", nil)
+	is.NoErr(err)
+	is.Equal(answer.Status, http.StatusGatewayTimeout) // it may have run
+	story := h.story(t, "r1")
+	is.True(strings.Contains(story, `"request not served" request-id=r1`))
+	is.True(strings.Contains(story, "at-servers=1 servers=[record-1]"))
+	is.True(strings.Contains(story, "the time was up while the request was at a server"))
+}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -114,7 +114,7 @@
 		f.Logger.LogAttrs(ctx, slog.LevelInfo, "request not served", slog.String("request-id", request.ID),
 			slog.String("route", route.Name), slog.String("service", x.service),
 			slog.Int("may-have-run", x.attempts.mayHaveRun), slog.Int("not-run", x.attempts.notRun),
-			slog.Int("at-servers", x.attempts.pending),
+			slog.Int("at-servers", x.attempts.pending), slog.Any("servers", x.attempts.asked()),
 			slog.Duration("after", time.Since(request.Arrived)), slog.Any("error", err))
 		return err
 	}
--- a/internal/request/forward/policy.go
+++ b/internal/request/forward/policy.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
@@ -122,6 +124,9 @@
 	a.pending++
 }
 
+// asked returns the servers that were tried.
+func (a *attempts) asked() []string { return slices.Sorted(maps.Keys(a.tried)) }
+
 // ended counts the outcome of a try.
 func (a *attempts) ended(ran kind.Ran) {
 	a.pending--
