--- a/internal/lab/chaos/chaos.go
+++ b/internal/lab/chaos/chaos.go
@@ -160,31 +160,10 @@
 	return Report(r.Shape.Name, r.Seed, r.ledger.Judge(ledger.DefaultLimits()))
 }
 
-// Report returns one row for each finding. A promise that was never checked
-// counts as a failure of the check.
+// Report returns one row for each finding.
 func Report(deployment string, seed uint64, findings []ledger.Finding) *report.Report {
 	result := &report.Report{Name: "chaos"}
-	var broken, unchecked, checked int
-	for _, f := range findings {
-		row := []report.Value{
-			{Key: "invariant", Value: f.Invariant}, {Key: "checked", Value: f.Checked}, {Key: "broken", Value: f.Broken},
-		}
-		if f.First != "" {
-			row = append(row, report.Value{Key: "first-broken", Value: f.First})
-		}
-		result.AddRow(row...)
-		broken += f.Broken
-		checked += f.Checked
-		if f.Checked == 0 {
-			unchecked++
-		}
-		result.Requiref(f.Checked > 0, "%s was never checked", f.Invariant)
-		result.Requiref(f.Broken == 0, "%s was broken %d times: %s", f.Invariant, f.Broken, f.First)
-	}
 	result.Add("deployment", deployment)
-	result.Add("seed", seed)
-	result.Add("checked", checked)
-	result.Add("broken", broken)
-	result.Add("unchecked", unchecked)
+	ledger.Report(result, seed, findings)
 	return result
 }
--- a/internal/lab/ledger/judge.go
+++ b/internal/lab/ledger/judge.go
@@ -31,9 +31,13 @@
 	// First describes the first break.
 	First     string
 	Invariant string
+	// Timed promises name a time within which they hold, so that a machine that is
+	// too busy breaks them too.
+	Timed bool
 }
 
-func (f *Finding) checkf(held bool, format string, args ...any) {
+// Checkf counts one check and describes the first one that did not hold.
+func (f *Finding) Checkf(held bool, format string, args ...any) {
 	f.Checked++
 	if held {
 		return
@@ -99,7 +103,7 @@
 	f := Finding{Invariant: AnswersWhole, Checked: samples.Delivered, Broken: samples.Wrong, First: firstOf(samples.Wrong, samples)}
 	for _, request := range r.Requests {
 		if request.Outcome.Answered {
-			f.checkf(request.Answer == request.Want, "%s %q was answered with %.60q", request.Kind, request.ID, request.Answer)
+			f.Checkf(request.Answer == request.Want, "%s %q was answered with %.60q", request.Kind, request.ID, request.Answer)
 		}
 	}
 	return f
@@ -137,7 +141,7 @@
 			refused = refused && try.Refused && try.Ran == kind.RanNo
 		}
 		if refused {
-			f.checkf(runs[request.ID] == 0, "%s %q was refused as not run and ran %d times: %s", request.Kind, request.ID, runs[request.ID], describe(request))
+			f.Checkf(runs[request.ID] == 0, "%s %q was refused as not run and ran %d times: %s", request.Kind, request.ID, runs[request.ID], describe(request))
 		}
 	}
 	return f
@@ -159,7 +163,7 @@
 	runs := r.runs()
 	for _, request := range r.Requests {
 		if request.Kind == RequestBooking {
-			f.checkf(runs[request.ID] <= 1, "booking %q ran %d times: %s", request.ID, runs[request.ID], describe(request))
+			f.Checkf(runs[request.ID] <= 1, "booking %q ran %d times: %s", request.ID, runs[request.ID], describe(request))
 		}
 	}
 	return f
@@ -174,7 +178,7 @@
 			for _, run := range runs {
 				for _, d := range r.Departures {
 					if d.covers(run.Started, limits.Leaving) {
-						f.checkf(d.Address != address, "engine %s began %s %s after it was leaving", address, id, run.Started.Sub(d.At))
+						f.Checkf(d.Address != address, "engine %s began %s %s after it was leaving", address, id, run.Started.Sub(d.At))
 					}
 				}
 			}
@@ -203,7 +207,7 @@
 				}
 				last := i == len(request.Outcome.Tries)-1
 				whole := last && request.Outcome.Answered || try.Ran == kind.RanNo || try.Refused
-				f.checkf(whole, "%s %q on %s was cut by its planned stop: %s", request.Kind, request.ID, try.Address, describe(request))
+				f.Checkf(whole, "%s %q on %s was cut by its planned stop: %s", request.Kind, request.ID, try.Address, describe(request))
 			}
 		}
 	}
@@ -234,7 +238,7 @@
 				due = max(due, a.Number)
 			}
 		}
-		f.checkf(o.Number >= due, "node %s shows edit %d where %d is due", o.Node, o.Number, due)
+		f.Checkf(o.Number >= due, "node %s shows edit %d where %d is due", o.Node, o.Number, due)
 		highest[key] = max(highest[key], o.Number)
 	}
 	return f
--- /dev/null
+++ b/internal/lab/ledger/report.go
@@ -0,0 +1,29 @@
+package ledger
+
+import "github.com/nutmegway/nutmegway/internal/lab/report"
+
+// Report adds one row for each finding to a report, and the sums. A promise that
+// was never checked counts as a failure of the check.
+func Report(result *report.Report, seed uint64, findings []Finding) {
+	var broken, unchecked, checked int
+	for _, f := range findings {
+		row := []report.Value{
+			{Key: "invariant", Value: f.Invariant}, {Key: "checked", Value: f.Checked}, {Key: "broken", Value: f.Broken},
+		}
+		if f.First != "" {
+			row = append(row, report.Value{Key: "first-broken", Value: f.First})
+		}
+		result.AddRow(row...)
+		broken += f.Broken
+		checked += f.Checked
+		if f.Checked == 0 {
+			unchecked++
+		}
+		result.Requiref(f.Checked > 0, "%s was never checked", f.Invariant)
+		result.Requiref(f.Broken == 0, "%s was broken %d times: %s", f.Invariant, f.Broken, f.First)
+	}
+	result.Add("seed", seed)
+	result.Add("checked", checked)
+	result.Add("broken", broken)
+	result.Add("unchecked", unchecked)
+}
--- a/internal/lab/soak/ledger.go
+++ b/internal/lab/soak/book.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/nutmegway/nutmegway/internal/lab/chaos"
 	"github.com/nutmegway/nutmegway/platform/platformtest"
 )
 
@@ -17,7 +18,7 @@
 
 // disturbance is a time in which a host, or what all of them need, was troubled.
 type disturbance struct {
-	action Action
+	action chaos.Action
 	from   time.Time
 	// host is its number, or everyone.
 	host int
@@ -112,20 +113,20 @@
 	submissions  map[string]*submission
 }
 
-// ledger keeps the records, outside the product.
-type ledger struct {
+// book keeps the records, outside the product.
+type book struct {
 	mu sync.Mutex
 	records
 }
 
-func (l *ledger) add(change func(*records)) {
+func (l *book) add(change func(*records)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	change(&l.records)
 }
 
 // disturb notes a disturbance and returns what ends it.
-func (l *ledger) disturb(action Action, host int) (end func()) {
+func (l *book) disturb(action chaos.Action, host int) (end func()) {
 	d := &disturbance{action: action, from: time.Now(), host: host}
 	l.add(func(r *records) { r.disturbances = append(r.disturbances, d) })
 	return func() { l.add(func(*records) { d.until = time.Now() }) }
--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/nutmegway/nutmegway/internal/lab/ledger"
 	"github.com/nutmegway/nutmegway/platform/platformtest"
 )
 
@@ -39,29 +40,6 @@
 	}
 }
 
-// Finding is the judgement on one promise.
-type Finding struct {
-	Broken  int
-	Checked int
-	// First describes the first break.
-	First   string
-	Promise string
-	// Timed promises name a time within which they hold, so that a machine that is
-	// too busy breaks them too.
-	Timed bool
-}
-
-func (f *Finding) checkf(held bool, format string, args ...any) {
-	f.Checked++
-	if held {
-		return
-	}
-	f.Broken++
-	if f.First == "" {
-		f.First = fmt.Sprintf(format, args...)
-	}
-}
-
 // The promises, in the order of judge.
 const (
 	AnswersWhole    = "answers-whole"
@@ -82,8 +60,8 @@
 )
 
 // judge returns one finding for each promise.
-func (r *records) judge(l limits) []Finding {
-	return []Finding{
+func (r *records) judge(l limits) []ledger.Finding {
+	return []ledger.Finding{
 		r.answersWhole(), r.notRunIsTrue(), r.atMostOnce(), r.onlyAsked(), r.stopsCutNothing(l), r.configInForce(l), r.oneGiver(l),
 		r.batchesKept(l), r.refusedDontRun(), r.positionsFixed(), r.textsWhole(), r.versionsTrue(), r.endsKept(l),
 		r.runsToTheEnd(), r.bodiesKept(),
@@ -114,43 +92,43 @@
 	return items
 }
 
-func (r *records) answersWhole() Finding {
-	f := Finding{Promise: AnswersWhole}
+func (r *records) answersWhole() ledger.Finding {
+	f := ledger.Finding{Invariant: AnswersWhole}
 	for _, q := range r.requests {
 		if !q.broken && q.answer.Status == http.StatusOK {
 			want := platformtest.PlainAnswer(q.id, q.method, q.target, q.body)
-			f.checkf(string(q.answer.Body) == want && q.answer.Stamp != "", "request %s got %.60q", q.id, q.answer.Body)
+			f.Checkf(string(q.answer.Body) == want && q.answer.Stamp != "", "request %s got %.60q", q.id, q.answer.Body)
 		}
 	}
 	return f
 }
 
-func (r *records) notRunIsTrue() Finding {
-	f := Finding{Promise: NotRunIsTrue}
+func (r *records) notRunIsTrue() ledger.Finding {
+	f := ledger.Finding{Invariant: NotRunIsTrue}
 	runs := r.runsByID()
 	for _, q := range r.requests {
 		if !q.broken && q.answer.NotRun() {
-			f.checkf(len(runs[q.id]) == 0, "request %s was refused with %d by host %d and ran %d times",
+			f.Checkf(len(runs[q.id]) == 0, "request %s was refused with %d by host %d and ran %d times",
 				q.id, q.answer.Status, q.host, len(runs[q.id]))
 		}
 	}
 	return f
 }
 
-func (r *records) atMostOnce() Finding {
-	f := Finding{Promise: AtMostOnce}
+func (r *records) atMostOnce() ledger.Finding {
+	f := ledger.Finding{Invariant: AtMostOnce}
 	runs := r.runsByID()
 	for _, q := range r.requests {
 		if q.repeat == platformtest.RepeatNever {
-			f.checkf(len(runs[q.id]) <= 1, "request %s ran %d times", q.id, len(runs[q.id]))
+			f.Checkf(len(runs[q.id]) <= 1, "request %s ran %d times", q.id, len(runs[q.id]))
 		}
 	}
 	return f
 }
 
 // onlyAsked judges each run by what a caller or trainer sent under its id.
-func (r *records) onlyAsked() Finding {
-	f := Finding{Promise: OnlyAsked}
+func (r *records) onlyAsked() ledger.Finding {
+	f := ledger.Finding{Invariant: OnlyAsked}
 	sent := map[string]string{}
 	for _, q := range r.requests {
 		sent[q.id] = strings.Join([]string{q.method, q.target, q.body}, " ")
@@ -162,22 +140,22 @@
 	}
 	for _, run := range r.runs {
 		got := strings.Join([]string{run.Method, run.Target, run.Body}, " ")
-		f.checkf(sent[run.ID] == got, "server %s ran %s as %q, sent was %q", run.Server, run.ID, got, sent[run.ID])
+		f.Checkf(sent[run.ID] == got, "server %s ran %s as %q, sent was %q", run.Server, run.ID, got, sent[run.ID])
 	}
 	return f
 }
 
 // stopsCutNothing judges the requests in flight on a host at its planned stop,
 // if nothing else befell anybody from the contact time before the request on.
-func (r *records) stopsCutNothing(l limits) Finding {
-	f := Finding{Promise: StopsCutNothing, Timed: true}
+func (r *records) stopsCutNothing(l limits) ledger.Finding {
+	f := ledger.Finding{Invariant: StopsCutNothing, Timed: true}
 	runs := r.runsByID()
 	for _, s := range r.stops {
 		for _, q := range r.requests {
 			inFlight := q.host == s.host && q.sent.Before(s.ended) && q.ended.After(s.at)
 			if inFlight && r.calm(everyone, q.sent.Add(-l.contact), q.ended) {
 				crossed := len(runs[q.id]) == 0 && q.ended.Sub(q.sent) <= l.loss
-				f.checkf(!q.broken || crossed, "request %s, sent %s after the order to stop to host %d, was cut", q.id, q.sent.Sub(s.at), s.host)
+				f.Checkf(!q.broken || crossed, "request %s, sent %s after the order to stop to host %d, was cut", q.id, q.sent.Sub(s.at), s.host)
 			}
 		}
 	}
@@ -186,8 +164,8 @@
 
 // configInForce judges each look: never older than an earlier one at the same
 // process, nor than a version confirmed long enough ago.
-func (r *records) configInForce(l limits) Finding {
-	f := Finding{Promise: ConfigInForce, Timed: true}
+func (r *records) configInForce(l limits) ledger.Finding {
+	f := ledger.Finding{Invariant: ConfigInForce, Timed: true}
 	probings := slices.Clone(r.probings)
 	slices.SortStableFunc(probings, func(a, b probing) int { return a.sent.Compare(b.sent) })
 	type process struct {
@@ -202,7 +180,7 @@
 	for _, p := range probings {
 		key := process{p.host, p.started}
 		before := seen[key]
-		f.checkf(p.version >= before.version || p.sent.Before(before.at.Add(l.regress)),
+		f.Checkf(p.version >= before.version || p.sent.Before(before.at.Add(l.regress)),
 			"host %d went back from version %d to %d", p.host, before.version, p.version)
 		if p.version > before.version {
 			seen[key] = sight{p.sent, p.version}
@@ -216,7 +194,7 @@
 		}
 		for _, e := range r.edits {
 			if e.at.Add(due).Before(p.sent) {
-				f.checkf(p.version >= e.version, "host %d has version %d, version %d was confirmed %s before",
+				f.Checkf(p.version >= e.version, "host %d has version %d, version %d was confirmed %s before",
 					p.host, p.version, e.version, p.sent.Sub(e.at))
 			}
 		}
@@ -225,8 +203,8 @@
 }
 
 // oneGiver judges neighbouring orders to a server.
-func (r *records) oneGiver(l limits) Finding {
-	f := Finding{Promise: OneGiver, Timed: true}
+func (r *records) oneGiver(l limits) ledger.Finding {
+	f := ledger.Finding{Invariant: OneGiver, Timed: true}
 	last := map[string]platformtest.Order{}
 	fences := map[string]map[int64]string{}
 	orders := slices.Clone(r.orders)
@@ -236,7 +214,7 @@
 			continue
 		}
 		if before, ok := last[o.Server]; ok {
-			f.checkf(before.Holder == o.Holder || o.At.Sub(before.At) >= l.spacing,
+			f.Checkf(before.Holder == o.Holder || o.At.Sub(before.At) >= l.spacing,
 				"server %s got orders of %s and %s within %s", o.Server, before.Holder, o.Holder, o.At.Sub(before.At))
 		}
 		last[o.Server] = o
@@ -244,7 +222,7 @@
 			fences[o.Server] = map[int64]string{}
 		}
 		holder := cmp.Or(fences[o.Server][o.Fence], o.Holder)
-		f.checkf(holder == o.Holder, "server %s got orders of %s and %s under fence %d", o.Server, holder, o.Holder, o.Fence)
+		f.Checkf(holder == o.Holder, "server %s got orders of %s and %s under fence %d", o.Server, holder, o.Holder, o.Fence)
 		fences[o.Server][o.Fence] = holder
 	}
 	return f
@@ -253,37 +231,37 @@
 // justResumed reports whether some process went on, or a link was mended, shortly before.
 func (r *records) justResumed(at time.Time, thaw time.Duration) bool {
 	return slices.ContainsFunc(r.disturbances, func(d *disturbance) bool {
-		return d.action.suspends() && !d.until.IsZero() && !at.Before(d.until) && at.Before(d.until.Add(thaw))
+		return suspends(d.action) && !d.until.IsZero() && !at.Before(d.until) && at.Before(d.until.Add(thaw))
 	})
 }
 
 // batchesKept judges all readings of accepted batches.
-func (r *records) batchesKept(l limits) Finding {
-	f := Finding{Promise: BatchesKept, Timed: true}
+func (r *records) batchesKept(l limits) ledger.Finding {
+	f := ledger.Finding{Invariant: BatchesKept, Timed: true}
 	for _, g := range r.readings {
 		s := r.submissions[g.batch]
 		if s == nil || s.accepted.IsZero() || g.sent.Before(s.accepted.Add(l.settle)) {
 			continue
 		}
 		unsure := platformtest.Answer{Status: g.status}.NotRun()
-		f.checkf(g.status == http.StatusOK || unsure, "host %d answered %d for batch %s, accepted %s before",
+		f.Checkf(g.status == http.StatusOK || unsure, "host %d answered %d for batch %s, accepted %s before",
 			g.host, g.status, g.batch, g.sent.Sub(s.accepted))
 		if g.status == http.StatusOK {
-			f.checkf(g.page.Total == len(s.batch.Items), "host %d says that batch %s has %d items", g.host, g.batch, g.page.Total)
+			f.Checkf(g.page.Total == len(s.batch.Items), "host %d says that batch %s has %d items", g.host, g.batch, g.page.Total)
 		}
 	}
 	return f
 }
 
-func (r *records) refusedDontRun() Finding {
-	f := Finding{Promise: RefusedDontRun}
+func (r *records) refusedDontRun() ledger.Finding {
+	f := ledger.Finding{Invariant: RefusedDontRun}
 	runs := r.runsByID()
 	for _, s := range r.submissions {
 		if !s.accepted.IsZero() || !s.refused {
 			continue
 		}
 		for _, i := range s.batch.Items {
-			f.checkf(len(runs[i.ID]) == 0, "item %s ran, its batch %s was refused", i.ID, s.batch.ID)
+			f.Checkf(len(runs[i.ID]) == 0, "item %s ran, its batch %s was refused", i.ID, s.batch.ID)
 		}
 	}
 	return f
@@ -298,8 +276,8 @@
 	}
 }
 
-func (r *records) positionsFixed() Finding {
-	f := Finding{Promise: PositionsFixed}
+func (r *records) positionsFixed() ledger.Finding {
+	f := ledger.Finding{Invariant: PositionsFixed}
 	type place struct {
 		batch    string
 		position int
@@ -310,11 +288,11 @@
 		if first, ok := results[key]; ok {
 			same := first.Item == result.Item && first.Completed == result.Completed && first.Text == result.Text &&
 				slices.Equal(first.Versions, result.Versions)
-			f.checkf(same, "batch %s, position %d held %s and then %s", g.batch, position, first.Item, result.Item)
+			f.Checkf(same, "batch %s, position %d held %s and then %s", g.batch, position, first.Item, result.Item)
 		}
 		results[key] = result
 		if other, ok := positions[g.batch+" "+result.Item]; ok {
-			f.checkf(other == key, "batch %s, item %s stands at positions %d and %d", g.batch, result.Item, other.position, position)
+			f.Checkf(other == key, "batch %s, item %s stands at positions %d and %d", g.batch, result.Item, other.position, position)
 		}
 		positions[g.batch+" "+result.Item] = key
 	})
@@ -323,17 +301,17 @@
 
 // textsWhole judges the results: the whole text, or an end that a caller or the
 // servers gave reason for.
-func (r *records) textsWhole() Finding {
-	f := Finding{Promise: TextsWhole}
+func (r *records) textsWhole() ledger.Finding {
+	f := ledger.Finding{Invariant: TextsWhole}
 	items, runs := r.items(), r.runsByID()
 	r.listed(func(g reading, _ int, result platformtest.Result) {
 		s := items[result.Item]
 		if s == nil || s.batch.ID != g.batch {
-			f.checkf(false, "batch %s lists item %s, which isn't its own", g.batch, result.Item)
+			f.Checkf(false, "batch %s lists item %s, which isn't its own", g.batch, result.Item)
 			return
 		}
 		if result.Completed {
-			f.checkf(result.Text == platformtest.ItemText(result.Item, bodyOf(s, result.Item)), "item %s has the text %.80q", result.Item, result.Text)
+			f.Checkf(result.Text == platformtest.ItemText(result.Item, bodyOf(s, result.Item)), "item %s has the text %.80q", result.Item, result.Text)
 			return
 		}
 		failed := 0
@@ -342,7 +320,7 @@
 				failed++
 			}
 		}
-		f.checkf(!s.ending.IsZero() || failed >= platformtest.MaxAttempts || g.sent.Sub(s.accepted) > platformtest.ItemLimit,
+		f.Checkf(!s.ending.IsZero() || failed >= platformtest.MaxAttempts || g.sent.Sub(s.accepted) > platformtest.ItemLimit,
 			"item %s was given up after %d failures", result.Item, failed)
 	})
 	return f
@@ -358,8 +336,8 @@
 }
 
 // versionsTrue judges the versions that results name by those that servers used.
-func (r *records) versionsTrue() Finding {
-	f := Finding{Promise: VersionsTrue}
+func (r *records) versionsTrue() ledger.Finding {
+	f := ledger.Finding{Invariant: VersionsTrue}
 	items, runs := r.items(), r.runsByID()
 	r.listed(func(_ reading, _ int, result platformtest.Result) {
 		if !result.Completed || items[result.Item] == nil {
@@ -371,9 +349,9 @@
 				used[version] = true
 			}
 		}
-		f.checkf(len(result.Versions) > 0, "item %s names no version", result.Item)
+		f.Checkf(len(result.Versions) > 0, "item %s names no version", result.Item)
 		for _, version := range result.Versions {
-			f.checkf(used[version] && version >= items[result.Item].batch.MinVersion, "item %s names version %d, used were %v, allowed from %d on",
+			f.Checkf(used[version] && version >= items[result.Item].batch.MinVersion, "item %s names version %d, used were %v, allowed from %d on",
 				result.Item, version, used, items[result.Item].batch.MinVersion)
 		}
 	})
@@ -382,8 +360,8 @@
 
 // endsKept judges the runs that began after a confirmed end, unless something
 // befell a host meanwhile.
-func (r *records) endsKept(l limits) Finding {
-	f := Finding{Promise: EndsKept, Timed: true}
+func (r *records) endsKept(l limits) ledger.Finding {
+	f := ledger.Finding{Invariant: EndsKept, Timed: true}
 	runs := r.runsByID()
 	for _, s := range r.submissions {
 		if s.ended.IsZero() {
@@ -397,14 +375,14 @@
 				}
 			}
 		}
-		f.checkf(late == "", "%s", late)
+		f.Checkf(late == "", "%s", late)
 	}
 	return f
 }
 
 // runsToTheEnd judges the batches that nobody ended by the last readings.
-func (r *records) runsToTheEnd() Finding {
-	f := Finding{Promise: RunsToTheEnd, Timed: true}
+func (r *records) runsToTheEnd() ledger.Finding {
+	f := ledger.Finding{Invariant: RunsToTheEnd, Timed: true}
 	lists := map[string]int{}
 	for _, g := range r.readings {
 		if g.final {
@@ -415,17 +393,17 @@
 		if s.accepted.IsZero() || !s.ending.IsZero() {
 			continue
 		}
-		f.checkf(lists[s.batch.ID] == len(s.batch.Items), "batch %s, accepted %s, lists %d of %d items at the end",
+		f.Checkf(lists[s.batch.ID] == len(s.batch.Items), "batch %s, accepted %s, lists %d of %d items at the end",
 			s.batch.ID, s.accepted.Format(time.TimeOnly), lists[s.batch.ID], len(s.batch.Items))
 	}
 	return f
 }
 
-func (r *records) bodiesKept() Finding {
-	f := Finding{Promise: BodiesKept}
+func (r *records) bodiesKept() ledger.Finding {
+	f := ledger.Finding{Invariant: BodiesKept}
 	items := r.items()
 	for _, b := range r.bodies {
-		f.checkf(b.status == http.StatusOK && b.body == bodyOf(items[b.item], b.item),
+		f.Checkf(b.status == http.StatusOK && b.body == bodyOf(items[b.item], b.item),
 			"item %s of batch %s gave %d and %.40q", b.item, b.batch, b.status, b.body)
 	}
 	return f
--- a/internal/lab/soak/judge_test.go
+++ b/internal/lab/soak/judge_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/nutmegway/nutmegway/internal/lab/chaos"
 	"github.com/nutmegway/nutmegway/platform/platformtest"
 )
 
@@ -108,9 +109,9 @@
 			r := soundRecords(zero)
 			c.plant(r)
 			for _, f := range r.judge(platformLimits()) {
-				is.Equal(f.Broken > 0, f.Promise == c.promise) // only the planted one: f
+				is.Equal(f.Broken > 0, f.Invariant == c.promise) // only the planted one: f
 				is.True(f.Checked > 0 || c.promise != "")
-				if (f.Broken > 0) != (f.Promise == c.promise) {
+				if (f.Broken > 0) != (f.Invariant == c.promise) {
 					t.Logf("%+v", f)
 				}
 			}
@@ -163,7 +164,7 @@
 			r.disturbances = []*disturbance{&c.trouble}
 			c.plant(r)
 			for _, f := range r.judge(platformLimits()) {
-				if f.Promise == c.promise {
+				if f.Invariant == c.promise {
 					is.Equal(f.Broken > 0, c.broken) // the planted fault is seen
 				}
 			}
@@ -178,7 +179,7 @@
 	is.Equal(first, again)
 	is.True(len(first) > 0 && len(other) > 0)
 	is.True(first[0] != other[0] || first[1] != other[1])
-	seen := map[Action]bool{}
+	seen := map[chaos.Action]bool{}
 	for _, e := range first {
 		seen[e.Action] = true
 		within := e.At % cycleTime
--- a/internal/lab/soak/player.go
+++ b/internal/lab/soak/player.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegway/nutmegway/internal/base/wait"
+	"github.com/nutmegway/nutmegway/internal/lab/chaos"
 	"github.com/nutmegway/nutmegway/internal/standin/faultproxy"
 	"github.com/nutmegway/nutmegway/internal/standin/kvmemory"
 	"github.com/nutmegway/nutmegway/platform/platformtest"
@@ -25,14 +26,14 @@
 )
 
 // serverTroubles are the actions that befall the next requests of a server.
-var serverTroubles = map[Action]platformtest.Trouble{
+var serverTroubles = map[chaos.Action]platformtest.Trouble{
 	ActionServerBreaks:    platformtest.TroubleBreaks,
 	ActionServerFails:     platformtest.TroubleFails,
 	ActionServerLoseOrder: platformtest.TroubleLosesOrder,
 	ActionServerSilent:    platformtest.TroubleSilent,
 }
 
-var linkFaults = map[Action]faultproxy.Fault{
+var linkFaults = map[chaos.Action]faultproxy.Fault{
 	ActionLinkBlackhole: {Blackhole: true},
 	ActionLinkDelay:     {Delay: linkDelay},
 	ActionLinkOneWay:    {HalfOpen: true},
@@ -43,7 +44,7 @@
 
 // play carries the events out as their times come; those that overlap run side
 // by side. One whose host or server is taken by another event is skipped.
-func (r *run) play(ctx context.Context, events []Event) error {
+func (r *run) play(ctx context.Context, events []chaos.Event) error {
 	start := time.Now()
 	var group errgroup.Group
 	for _, event := range events {
@@ -55,7 +56,7 @@
 	return group.Wait()
 }
 
-func (r *run) apply(ctx context.Context, event Event) error {
+func (r *run) apply(ctx context.Context, event chaos.Event) error {
 	n := r.nodes[event.Target%len(r.nodes)]
 	b := r.backends[event.Target%len(r.backends)]
 	switch event.Action {
@@ -98,14 +99,14 @@
 	return group.Wait()
 }
 
-func (r *run) troubleHost(ctx context.Context, n *node, event Event) error {
+func (r *run) troubleHost(ctx context.Context, n *node, event chaos.Event) error {
 	switch event.Action {
 	case ActionHostReload:
 		return n.process.Signal(reloadSignal)
 	case ActionHostStop:
 		return r.stop(ctx, n, event.Last)
 	}
-	defer r.ledger.disturb(event.Action, n.number)()
+	defer r.book.disturb(event.Action, n.number)()
 	switch event.Action {
 	case ActionHostKill:
 		return r.kill(ctx, n, event.Last)
@@ -134,7 +135,7 @@
 		return classError.New("host %s, told to stop: %w", n.settings.ID, err)
 	}
 	s.ended = time.Now()
-	r.ledger.add(func(records *records) { records.stops = append(records.stops, s) })
+	r.book.add(func(records *records) { records.stops = append(records.stops, s) })
 	wait.For(ctx, last) // The host starts again in any case.
 	return n.start(ctx)
 }
@@ -156,8 +157,8 @@
 }
 
 // killAll kills every host that no other event has taken, at once.
-func (r *run) killAll(ctx context.Context, event Event) error {
-	defer r.ledger.disturb(event.Action, everyone)()
+func (r *run) killAll(ctx context.Context, event chaos.Event) error {
+	defer r.book.disturb(event.Action, everyone)()
 	var group errgroup.Group
 	for _, n := range r.nodes {
 		if n.busy.TryLock() {
@@ -170,8 +171,8 @@
 	return group.Wait()
 }
 
-func (r *run) troubleLink(ctx context.Context, link *faultproxy.Proxy, host int, event Event) {
-	defer r.ledger.disturb(event.Action, host)()
+func (r *run) troubleLink(ctx context.Context, link *faultproxy.Proxy, host int, event chaos.Event) {
+	defer r.book.disturb(event.Action, host)()
 	fault := linkFaults[event.Action]
 	link.Set(fault)
 	if fault.Refuse {
@@ -185,9 +186,9 @@
 	}
 }
 
-func (r *run) troubleServer(ctx context.Context, b *backend, event Event) error {
+func (r *run) troubleServer(ctx context.Context, b *backend, event chaos.Event) error {
 	if trouble, ok := serverTroubles[event.Action]; ok {
-		defer r.ledger.disturb(event.Action, servers)()
+		defer r.book.disturb(event.Action, servers)()
 		b.Meet(trouble, 1+event.Target%troubleCount)
 		wait.For(ctx, event.Last) // The trouble ends in any case.
 		b.Calm()
@@ -197,7 +198,7 @@
 		r.troubleLink(ctx, b.link, servers, event)
 		return nil
 	}
-	defer r.ledger.disturb(event.Action, servers)()
+	defer r.book.disturb(event.Action, servers)()
 	b.link.Set(faultproxy.Fault{Refuse: true})
 	b.link.ResetAll()
 	b.Stop()
@@ -206,15 +207,15 @@
 	return b.Start()
 }
 
-func (r *run) troubleStore(ctx context.Context, event Event) {
+func (r *run) troubleStore(ctx context.Context, event chaos.Event) {
 	memory := &r.store.Memory
 	switch event.Action {
 	case ActionStoreEndsLeases:
-		defer r.ledger.disturb(event.Action, everyone)()
+		defer r.book.disturb(event.Action, everyone)()
 		memory.EndAll()
 		return
 	case ActionStoreForgets:
-		defer r.ledger.disturb(event.Action, everyone)()
+		defer r.book.disturb(event.Action, everyone)()
 		memory.Compact()
 		return
 	}
@@ -222,7 +223,7 @@
 		return
 	}
 	defer r.work.storeBusy.Unlock()
-	defer r.ledger.disturb(event.Action, everyone)()
+	defer r.book.disturb(event.Action, everyone)()
 	var calls int
 	switch event.Action {
 	case ActionStoreDown:
--- a/internal/lab/soak/schedule.go
+++ b/internal/lab/soak/schedule.go
@@ -1,45 +1,43 @@
 package soak
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
-)
 
-// Action is one trouble, planned stop or reload.
-type Action string
+	"github.com/nutmegway/nutmegway/internal/lab/chaos"
+)
 
-// The actions.
+// The actions: troubles, planned stops and reloads.
 const (
-	ActionAllKill         Action = "all-kill"
-	ActionCallerBurst     Action = "caller-burst"
-	ActionHostKill        Action = "host-kill"
-	ActionHostPause       Action = "host-pause"
-	ActionHostReload      Action = "host-reload"
-	ActionHostSeries      Action = "host-series"
-	ActionHostStop        Action = "host-stop"
-	ActionLinkBlackhole   Action = "link-blackhole"
-	ActionLinkDelay       Action = "link-delay"
-	ActionLinkOneWay      Action = "link-one-way"
-	ActionLinkReset       Action = "link-reset"
-	ActionServerBreaks    Action = "server-breaks"
-	ActionServerCrash     Action = "server-crash"
-	ActionServerFails     Action = "server-fails"
-	ActionServerLink      Action = "server-link-reset"
-	ActionServerLoseOrder Action = "server-loses-order"
-	ActionServerOneWay    Action = "server-link-one-way"
-	ActionServerSilent    Action = "server-silent"
-	ActionStoreDown       Action = "store-down"
-	ActionStoreEndsLeases Action = "store-ends-leases"
-	ActionStoreForgets    Action = "store-forgets-history"
-	ActionStoreLate       Action = "store-writes-late"
-	ActionStoreLoses      Action = "store-loses-answers"
-	ActionStoreSlow       Action = "store-slow"
+	ActionAllKill         chaos.Action = "all-kill"
+	ActionCallerBurst     chaos.Action = "caller-burst"
+	ActionHostKill        chaos.Action = "host-kill"
+	ActionHostPause       chaos.Action = "host-pause"
+	ActionHostReload      chaos.Action = "host-reload"
+	ActionHostSeries      chaos.Action = "host-series"
+	ActionHostStop        chaos.Action = "host-stop"
+	ActionLinkBlackhole   chaos.Action = "link-blackhole"
+	ActionLinkDelay       chaos.Action = "link-delay"
+	ActionLinkOneWay      chaos.Action = "link-one-way"
+	ActionLinkReset       chaos.Action = "link-reset"
+	ActionServerBreaks    chaos.Action = "server-breaks"
+	ActionServerCrash     chaos.Action = "server-crash"
+	ActionServerFails     chaos.Action = "server-fails"
+	ActionServerLink      chaos.Action = "server-link-reset"
+	ActionServerLoseOrder chaos.Action = "server-loses-order"
+	ActionServerOneWay    chaos.Action = "server-link-one-way"
+	ActionServerSilent    chaos.Action = "server-silent"
+	ActionStoreDown       chaos.Action = "store-down"
+	ActionStoreEndsLeases chaos.Action = "store-ends-leases"
+	ActionStoreForgets    chaos.Action = "store-forgets-history"
+	ActionStoreLate       chaos.Action = "store-writes-late"
+	ActionStoreLoses      chaos.Action = "store-loses-answers"
+	ActionStoreSlow       chaos.Action = "store-slow"
 )
 
 // stormActions are what a storm draws from; each comes before any comes again.
-var stormActions = []Action{
+var stormActions = []chaos.Action{
 	ActionAllKill, ActionHostKill, ActionHostKill, ActionHostPause, ActionHostReload, ActionHostSeries, ActionHostStop,
 	ActionLinkBlackhole, ActionLinkDelay, ActionLinkOneWay, ActionLinkReset, ActionServerBreaks, ActionServerCrash, ActionServerFails,
 	ActionServerLink, ActionServerLoseOrder, ActionServerOneWay, ActionServerSilent, ActionStoreDown, ActionStoreEndsLeases,
@@ -47,7 +45,7 @@
 }
 
 // suspends reports whether a host goes on after it without having noticed.
-func (a Action) suspends() bool {
+func suspends(a chaos.Action) bool {
 	switch a {
 	case ActionHostPause, ActionHostSeries, ActionLinkBlackhole, ActionLinkDelay, ActionLinkOneWay, ActionServerLink, ActionServerOneWay:
 		return true
@@ -71,29 +69,14 @@
 	maxLast    = 4 * time.Second
 )
 
-// Event is one action of a schedule.
-type Event struct {
-	Action Action
-	At     time.Duration
-	// Last is how long it lasts.
-	Last time.Duration
-	// Target selects the host or server, modulo their number.
-	Target int
-}
-
-// String returns the event as one line.
-func (e Event) String() string {
-	return fmt.Sprintf("at=%s action=%s target=%d last=%s", e.At, e.Action, e.Target, e.Last)
-}
-
 // Schedule returns the events of a run. The same seed and length give the same
 // events.
-func Schedule(seed uint64, length time.Duration) []Event {
+func Schedule(seed uint64, length time.Duration) []chaos.Event {
 	random := rand.New(rand.NewPCG(seed, uint64(length)))
-	var events []Event
-	var bag []Action
+	var events []chaos.Event
+	var bag []chaos.Action
 	for cycle := time.Duration(0); cycle+cycleTime <= length; cycle += cycleTime {
-		events = append(events, Event{Action: ActionCallerBurst, At: cycle})
+		events = append(events, chaos.Event{Action: ActionCallerBurst, At: cycle})
 		for at := cycle; at < cycle+stormTime; at += stormEvery {
 			count := 1
 			if random.IntN(twiceIn) == 0 {
@@ -105,13 +88,13 @@
 					random.Shuffle(len(bag), func(i, j int) { bag[i], bag[j] = bag[j], bag[i] })
 				}
 				last := minLast + time.Duration(random.Int64N(int64(maxLast-minLast)))
-				events = append(events, Event{
+				events = append(events, chaos.Event{
 					Action: bag[0], At: at, Last: min(last, cycle+stormTime-at).Round(time.Millisecond), Target: random.IntN(1 << 16),
 				})
 				bag = bag[1:]
 			}
 		}
-		events = append(events, Event{Action: ActionHostStop, At: cycle + stormTime + calmTime, Target: random.IntN(1 << 16)})
+		events = append(events, chaos.Event{Action: ActionHostStop, At: cycle + stormTime + calmTime, Target: random.IntN(1 << 16)})
 	}
 	return events
 }
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegway/nutmegway/internal/base/wait"
+	"github.com/nutmegway/nutmegway/internal/lab/ledger"
 	"github.com/nutmegway/nutmegway/internal/lab/report"
 	"github.com/nutmegway/nutmegway/platform/platformtest"
 )
@@ -51,7 +52,7 @@
 	fleet
 
 	caller platformtest.Caller
-	ledger ledger
+	book   book
 	work   workload
 }
 
@@ -61,15 +62,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return newReport(s.Seed, findings), nil
+	result := &report.Report{Name: "soak"}
+	ledger.Report(result, s.Seed, findings)
+	return result, nil
 }
 
 // Judge plays the schedule and returns one finding for each promise.
-func (s Soak) Judge(ctx context.Context) ([]Finding, error) {
+func (s Soak) Judge(ctx context.Context) ([]ledger.Finding, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r := &run{Soak: s, caller: platformtest.Caller{Host: routeHost, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callerCount}}}}
-	r.ledger.submissions = map[string]*submission{}
+	r.book.submissions = map[string]*submission{}
 	var group errgroup.Group
 	err := r.whole(ctx, &group)
 	err = errs.Combine(err, r.close())
@@ -80,10 +83,10 @@
 	}
 	for _, b := range r.backends {
 		runs, orders := b.Seen()
-		r.ledger.runs = append(r.ledger.runs, runs...)
-		r.ledger.orders = append(r.ledger.orders, orders...)
+		r.book.runs = append(r.book.runs, runs...)
+		r.book.orders = append(r.book.orders, orders...)
 	}
-	return r.ledger.judge(platformLimits()), nil
+	return r.book.judge(platformLimits()), nil
 }
 
 func (r *run) whole(ctx context.Context, group *errgroup.Group) error {
@@ -128,27 +131,3 @@
 	}
 	return nil
 }
-
-// newReport returns one row for each finding. A promise that was never checked
-// counts as a failure of the soak.
-func newReport(seed uint64, findings []Finding) *report.Report {
-	result := &report.Report{Name: "soak"}
-	var broken, checked int
-	for _, f := range findings {
-		row := []report.Value{
-			{Key: "promise", Value: f.Promise}, {Key: "checked", Value: f.Checked}, {Key: "broken", Value: f.Broken},
-		}
-		if f.First != "" {
-			row = append(row, report.Value{Key: "first-broken", Value: f.First})
-		}
-		result.AddRow(row...)
-		broken += f.Broken
-		checked += f.Checked
-		result.Requiref(f.Checked > 0, "%s was never checked", f.Promise)
-		result.Requiref(f.Broken == 0, "%s was broken %d times: %s", f.Promise, f.Broken, f.First)
-	}
-	result.Add("seed", seed)
-	result.Add("checked", checked)
-	result.Add("broken", broken)
-	return result
-}
--- a/internal/lab/soak/workload.go
+++ b/internal/lab/soak/workload.go
@@ -116,7 +116,7 @@
 	}
 	answer, err := r.caller.Send(ctx, n.settings.CallerAddress, q.method, q.target, id, []byte(q.body))
 	q.answer, q.broken, q.ended = answer, err != nil, time.Now()
-	r.ledger.add(func(records *records) { records.requests = append(records.requests, q) })
+	r.book.add(func(records *records) { records.requests = append(records.requests, q) })
 	return answer, err != nil
 }
 
@@ -131,11 +131,11 @@
 		case answer.Status == http.StatusNotFound:
 			continue
 		case answer.Status == http.StatusOK:
-			r.ledger.add(func(records *records) { records.probings = append(records.probings, p) })
+			r.book.add(func(records *records) { records.probings = append(records.probings, p) })
 		}
 		return
 	}
-	r.ledger.add(func(records *records) {
+	r.book.add(func(records *records) {
 		records.probings = append(records.probings, probing{host: n.number, sent: time.Now(), started: time.Unix(0, n.started.Load())})
 	})
 }
@@ -148,7 +148,7 @@
 	if err := r.configure(version); err != nil {
 		return err
 	}
-	r.ledger.add(func(records *records) { records.edits = append(records.edits, edit{at: time.Now(), version: version}) })
+	r.book.add(func(records *records) { records.edits = append(records.edits, edit{at: time.Now(), version: version}) })
 	r.work.config.Store(version)
 	return nil
 }
@@ -157,7 +157,7 @@
 // next version of the weights.
 func (r *run) train(ctx context.Context) error {
 	s := &submission{batch: r.newBatch(), refused: true}
-	r.ledger.add(func(records *records) { records.submissions[s.batch.ID] = s })
+	r.book.add(func(records *records) { records.submissions[s.batch.ID] = s })
 	if !r.submit(ctx, s) {
 		return nil
 	}
@@ -178,7 +178,7 @@
 // tryOnce submits a batch to one host only, so that some stay refused.
 func (r *run) tryOnce(ctx context.Context) error {
 	s := &submission{batch: r.newBatch(), refused: true}
-	r.ledger.add(func(records *records) { records.submissions[s.batch.ID] = s })
+	r.book.add(func(records *records) { records.submissions[s.batch.ID] = s })
 	r.attempt(ctx, s)
 	wait.For(ctx, tryEvery) // The loop sees the end.
 	return nil
@@ -216,7 +216,7 @@
 	defer cancel()
 	answer, err := r.caller.Submit(ctx, r.anyNode().settings.CallerAddress, s.batch)
 	accepted := err == nil && answer.Status == http.StatusAccepted
-	r.ledger.add(func(*records) {
+	r.book.add(func(*records) {
 		s.refused = s.refused && err == nil && answer.NotRun()
 		if accepted {
 			s.accepted = time.Now()
@@ -264,19 +264,19 @@
 		return page, false
 	}
 	g.page, g.status = page, status
-	r.ledger.add(func(records *records) { records.readings = append(records.readings, g) })
+	r.book.add(func(records *records) { records.readings = append(records.readings, g) })
 	return page, status == http.StatusOK
 }
 
 // end sends the end of a batch until a host confirms it, or the step's time is up.
 func (r *run) end(ctx context.Context, s *submission) {
-	r.ledger.add(func(*records) { s.ending = time.Now() })
+	r.book.add(func(*records) { s.ending = time.Now() })
 	for began := time.Now(); time.Since(began) < stepLimit; {
 		attempt, cancel := context.WithTimeout(ctx, attemptLimit)
 		answer, err := r.caller.End(attempt, r.anyNode().settings.CallerAddress, s.batch.ID)
 		cancel()
 		if err == nil && answer.Status == http.StatusOK {
-			r.ledger.add(func(*records) { s.ended = time.Now() })
+			r.book.add(func(*records) { s.ended = time.Now() })
 			return
 		}
 		wait.For(ctx, retryPause) // The time is bounded above.
@@ -287,7 +287,7 @@
 func (r *run) read(ctx context.Context) error {
 	defer wait.For(ctx, readEvery)
 	var ids []string
-	r.ledger.add(func(records *records) {
+	r.book.add(func(records *records) {
 		for id, s := range records.submissions {
 			if !s.accepted.IsZero() {
 				ids = append(ids, id)
@@ -305,7 +305,7 @@
 // the item isn't listed afterwards and nobody ends the batch.
 func (r *run) checkBody(ctx context.Context, id string) {
 	var s *submission
-	r.ledger.add(func(records *records) { s = records.submissions[id] })
+	r.book.add(func(records *records) { s = records.submissions[id] })
 	item := s.batch.Items[len(s.batch.Items)-1-rand.IntN(itemsPerGroup)]
 	n := r.anyNode()
 	attempt, cancel := context.WithTimeout(ctx, attemptLimit)
@@ -320,7 +320,7 @@
 			return
 		}
 	}
-	r.ledger.add(func(records *records) {
+	r.book.add(func(records *records) {
 		if s.ending.IsZero() || answer.Status == http.StatusOK {
 			records.bodies = append(records.bodies, bodyReading{batch: id, body: string(answer.Body), item: item.ID, status: answer.Status})
 		}
@@ -333,7 +333,7 @@
 	ctx, cancel := context.WithTimeout(ctx, finishLimit)
 	defer cancel()
 	var group errgroup.Group
-	for id, s := range r.ledger.submissions {
+	for id, s := range r.book.submissions {
 		if s.accepted.IsZero() {
 			continue
 		}
