Trouble plain servers in each storm, and pause hosts for longer than they count as alive

Each trouble of servers now meets an engine and a plain server, and pauses last 1.5 s longer and come three times as often.

--- a/internal/lab/soak/player.go
+++ b/internal/lab/soak/player.go
@@ -20,7 +20,9 @@
 	// requests.
 	burstFactor = 3
 	// troubleCount is how many requests of a server a trouble befalls at most.
-	troubleCount = 4
+	troubleCount = 8
+	// silentTime is added to a pause: the product takes a host for dead sooner.
+	silentTime = 1500 * time.Millisecond
 	// loseEach is which of the store's calls loses its answer: one of so many.
 	loseEach = 3
 )
@@ -58,7 +60,6 @@
 
 func (r *run) apply(ctx context.Context, event chaos.Event) error {
 	n := r.nodes[event.Target%len(r.nodes)]
-	b := r.backends[event.Target%len(r.backends)]
 	switch event.Action {
 	case ActionAllKill:
 		return r.killAll(ctx, event)
@@ -76,10 +77,7 @@
 			r.troubleLink(ctx, n.link, n.number, event)
 		}
 	case ActionServerBreaks, ActionServerCrash, ActionServerFails, ActionServerLink, ActionServerLoseOrder, ActionServerOneWay, ActionServerSilent:
-		if b.busy.TryLock() {
-			defer b.busy.Unlock()
-			return r.troubleServer(ctx, b, event)
-		}
+		return r.troubleServers(ctx, event)
 	default:
 		r.troubleStore(ctx, event)
 	}
@@ -111,7 +109,7 @@
 	case ActionHostKill:
 		return r.kill(ctx, n, event.Last)
 	case ActionHostPause:
-		return pause(ctx, n, event.Last)
+		return pause(ctx, n, silentTime+event.Last)
 	}
 	// A series: signals and restarts one upon the other.
 	for range 3 {
@@ -186,6 +184,22 @@
 	}
 }
 
+// troubleServers troubles an engine and a plain server at once.
+func (r *run) troubleServers(ctx context.Context, event chaos.Event) error {
+	var group errgroup.Group
+	for _, b := range []*backend{
+		r.backends[event.Target%engineCount], r.backends[engineCount+event.Target%plainCount],
+	} {
+		if b.busy.TryLock() {
+			group.Go(func() error {
+				defer b.busy.Unlock()
+				return r.troubleServer(ctx, b, event)
+			})
+		}
+	}
+	return group.Wait()
+}
+
 func (r *run) troubleServer(ctx context.Context, b *backend, event chaos.Event) error {
 	if trouble, ok := serverTroubles[event.Action]; ok {
 		defer r.book.disturb(event.Action, servers)()
--- a/internal/lab/soak/schedule.go
+++ b/internal/lab/soak/schedule.go
@@ -38,7 +38,7 @@
 
 // stormActions are what a storm draws from; each comes before any comes again.
 var stormActions = []chaos.Action{
-	ActionAllKill, ActionHostKill, ActionHostKill, ActionHostPause, ActionHostReload, ActionHostSeries, ActionHostStop,
+	ActionAllKill, ActionHostKill, ActionHostKill, ActionHostPause, ActionHostPause, ActionHostPause, ActionHostReload, ActionHostSeries, ActionHostStop,
 	ActionLinkBlackhole, ActionLinkDelay, ActionLinkOneWay, ActionLinkReset, ActionServerBreaks, ActionServerCrash, ActionServerFails,
 	ActionServerLink, ActionServerLoseOrder, ActionServerOneWay, ActionServerSilent, ActionStoreDown, ActionStoreEndsLeases,
 	ActionStoreForgets, ActionStoreLate, ActionStoreLoses, ActionStoreSlow,
@@ -55,8 +55,8 @@
 }
 
 const (
-	// A cycle is a burst of callers and a storm, a calm that is longer than the time after which promises
-	// hold again, one planned stop, and a calm in which it ends.
+	// A cycle is a burst of callers and a storm, a calm that is longer than the time
+	// after which promises hold again, one planned stop, and a calm in which it ends.
 	stormTime = 8 * time.Second
 	calmTime  = 8 * time.Second
 	stopTime  = 5 * time.Second
