--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 CHAOS_SECONDS ?= 45
 CHAOS_SEEDS ?= 1 2 3 4 5
 
-.PHONY: all build capacity chaos check format generate lint reference test tools
+.PHONY: all build capacity chaos check format generate lint reference soak test tools
 
 MODULES := $(shell go list -m)
 MODULE_ROOT := github.com/nutmegway/nutmegway
@@ -66,3 +66,11 @@
 	for deployment in brazos halvorsen; do for seed in $(CHAOS_SEEDS); do \
 		$(BIN)/nutmegway-lab chaos --processes --deployment $$deployment --seconds $(CHAOS_SECONDS) --seed $$seed 2>/dev/null || exit 1; \
 	done; done
+
+# The same on the users' platform. Seeds differ from run to run unless they are given.
+SOAK_SECONDS ?= 42
+SOAK_SEEDS ?= $(shell date +%s)
+soak: build
+	for seed in $(SOAK_SEEDS); do \
+		$(BIN)/nutmegway-lab soak --seconds $(SOAK_SECONDS) --seed $$seed 2>/dev/null || exit 1; \
+	done
