--- /dev/null
+++ b/internal/backend/generation/generation_test.go
@@ -0,0 +1,170 @@
+package generation_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/nutmegway/nutmegway/internal/backend/dialect"
+	"github.com/nutmegway/nutmegway/internal/backend/generation"
+	"github.com/nutmegway/nutmegway/internal/backend/plain"
+)
+
+var headers = dialect.Dialect{
+	BudgetMillis: "Budget", ExpectServer: "Expect-Server", Load: "Load", NotRun: "Not-Run",
+	ResumeAfter: "Resume-After", WeightVersion: "Weight-Version",
+}
+
+// run sends an item to an engine that answers with handle.
+func run(
+	t *testing.T, request generation.Request, handle http.HandlerFunc, onEvent func(generation.Event) error,
+) (generation.Outcome, error) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		handle(w, r)
+	}))
+	defer server.Close()
+	client := &generation.Client{Dialect: headers, Logger: slog.New(slog.DiscardHandler), Plain: &plain.Client{}}
+	request.Address, request.ID, request.Target = strings.TrimPrefix(server.URL, "http://"), "i1", "/r/x"
+	if request.FirstWait == 0 {
+		request.FirstWait, request.EventWait = time.Minute, time.Minute
+	}
+	return client.Run(t.Context(), request, func(string) {}, onEvent)
+}
+
+func flush(w http.ResponseWriter) { _ = http.NewResponseController(w).Flush() }
+
+// TestOutcomes is the table of what an answer proves.
+func TestOutcomes(t *testing.T) {
+	cases := map[string]struct {
+		handle http.HandlerFunc
+		want   generation.Outcome
+		events int
+	}{
+		"a whole stream": {func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+		}, generation.OutcomeCompleted, 2},
+		"no event at all": {func(http.ResponseWriter, *http.Request) {}, generation.OutcomeCompleted, 0},
+		"an end within an event": {func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, "id: 1\ndata: a\n\nid: 2\ndata: b\n")
+		}, generation.OutcomeBroken, 1},
+		"a reset": {func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, "id: 1\ndata: a\n\n")
+			flush(w)
+			panic(http.ErrAbortHandler)
+		}, generation.OutcomeBroken, 1},
+		"a version that is no number": {func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, "weight-version: new\nid: 1\ndata: a\n\n")
+		}, generation.OutcomeBroken, 0},
+		"full": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, generation.OutcomeNotRun, 0},
+		"another server at the address": {func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		}, generation.OutcomeNotRun, 0},
+		"503 without a word on the run": {func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, generation.OutcomeBroken, 0},
+		"failed":     {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, generation.OutcomeFailed, 0},
+		"impossible": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusUnprocessableEntity) }, generation.OutcomeImpossible, 0},
+		"an answer to another request": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Request-Id", "i2")
+			fmt.Fprint(w, "id: 1\ndata: other\n\n")
+		}, generation.OutcomeBroken, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			events := 0
+			outcome, err := run(t, generation.Request{}, c.handle, func(generation.Event) error {
+				events++
+				return nil
+			})
+			is.Equal(outcome, c.want)
+			is.Equal(err == nil, c.want == generation.OutcomeCompleted)
+			is.Equal(events, c.events) // whole events only
+		})
+	}
+}
+
+// TestEventsNameTheirVersion changes the version in the middle of a stream.
+func TestEventsNameTheirVersion(t *testing.T) {
+	is := is.New(t)
+	var events []generation.Event
+	_, err := run(t, generation.Request{}, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Weight-Version", "3")
+		fmt.Fprint(w, "id: 1\ndata: a\n\nweight-version: 4\nid: 2\ndata: b1\ndata: b2\n\nid: 3\ndata: c\n\n")
+	}, func(e generation.Event) error {
+		events = append(events, e)
+		return nil
+	})
+	is.NoErr(err)
+	is.Equal(events, []generation.Event{
+		{Data: "a", ID: "1", Version: 3}, {Data: "b1\nb2", ID: "2", Version: 4}, {Data: "c", ID: "3", Version: 4},
+	})
+}
+
+func TestRequestOfAResumedItem(t *testing.T) {
+	is := is.New(t)
+	var got http.Header
+	_, err := run(t, generation.Request{
+		Budget: 1500 * time.Millisecond, Header: map[string]string{"X-Own": "kept"}, ResumeAfter: "7", Server: "e1",
+	}, func(_ http.ResponseWriter, r *http.Request) { got = r.Header }, func(generation.Event) error { return nil })
+	is.NoErr(err)
+	is.Equal(got.Get("Resume-After"), "7")
+	is.Equal(got.Get("Expect-Server"), "e1")
+	is.Equal(got.Get("Budget"), "1500")
+	is.Equal(got.Get("X-Own"), "kept")
+}
+
+// TestSilence ends a stream whose first or next event doesn't come; the engine
+// sees the end.
+func TestSilence(t *testing.T) {
+	for name, first := range map[string]bool{"before the first event": true, "between events": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ended := make(chan struct{})
+			outcome, err := run(t, generation.Request{FirstWait: 50 * time.Millisecond, EventWait: 50 * time.Millisecond},
+				func(w http.ResponseWriter, r *http.Request) {
+					if !first {
+						fmt.Fprint(w, "id: 1\ndata: a\n\n")
+						flush(w)
+					}
+					<-r.Context().Done()
+					close(ended)
+				}, func(generation.Event) error { return nil })
+			is.Equal(outcome, generation.OutcomeStalled)
+			is.True(err != nil)
+			<-ended
+		})
+	}
+}
+
+func TestCallerEndsARun(t *testing.T) {
+	is := is.New(t)
+	enough := errors.New("enough")
+	outcome, err := run(t, generation.Request{}, func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprint(w, "id: 1\ndata: a\n\n")
+		flush(w)
+		<-r.Context().Done()
+	}, func(generation.Event) error { return enough })
+	is.Equal(outcome, generation.OutcomeBroken)
+	is.True(errors.Is(err, enough))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	client := &generation.Client{Dialect: headers, Logger: slog.New(slog.DiscardHandler), Plain: &plain.Client{}}
+	outcome, _ = client.Run(ctx, generation.Request{Address: "127.0.0.1:1", FirstWait: time.Minute}, func(string) {}, nil)
+	is.Equal(outcome, generation.OutcomeStopped)
+}
--- /dev/null
+++ b/internal/backend/inventory/inventory_test.go
@@ -0,0 +1,132 @@
+package inventory_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/nutmegway/nutmegway/internal/backend/inventory"
+)
+
+const ms = time.Millisecond
+
+// clock is a time that a test sets.
+type clock struct{ now time.Time }
+
+func (c *clock) after(d time.Duration) { c.now = c.now.Add(d) }
+
+func newInventory(servers ...inventory.Server) (*inventory.Inventory, *clock) {
+	c := &clock{now: time.Unix(1000, 0)}
+	v := &inventory.Inventory{Now: func() time.Time { return c.now }}
+	for _, s := range servers {
+		v.Set(s)
+	}
+	return v, c
+}
+
+func ids(candidates []inventory.Candidate) []string {
+	var list []string
+	for _, c := range candidates {
+		list = append(list, c.ID)
+	}
+	return list
+}
+
+func TestCandidatesTakeNewWork(t *testing.T) {
+	is := is.New(t)
+	v, _ := newInventory(
+		inventory.Server{ID: "b", Service: "s"}, inventory.Server{ID: "a", Service: "s"},
+		inventory.Server{ID: "leaving", Service: "s", Draining: true}, inventory.Server{ID: "other", Service: "o"},
+	)
+	is.Equal(ids(v.Candidates("s")), []string{"a", "b"})
+	v.Remove("a")
+	is.Equal(ids(v.Candidates("s")), []string{"b"})
+	_, known := v.Get("leaving")
+	is.True(known) // it still finishes what it has
+}
+
+func TestFailuresMakeSuspect(t *testing.T) {
+	is := is.New(t)
+	v, c := newInventory(inventory.Server{ID: "a", Service: "s"})
+	suspect := func() bool { return v.Candidates("s")[0].Suspect }
+	is.Equal(v.Failed("a"), 500*ms)
+	is.True(suspect())
+	c.after(500 * ms)
+	is.True(!suspect())
+	is.Equal(v.Failed("a"), time.Second) // twice as long with each in a row
+	is.Equal(v.Failed("a"), 2*time.Second)
+	is.Equal(v.Failed("a"), 4*time.Second)
+	is.Equal(v.Failed("a"), 4*time.Second) // but never longer
+	v.Answered("a", -1)
+	is.True(!suspect()) // a sound answer ends it
+	is.Equal(v.Failed("a"), 500*ms)
+	v.Answered("a", -1)
+	v.Full("a", 150*ms)
+	is.True(suspect())
+	c.after(150 * ms)
+	is.True(!suspect())
+}
+
+func TestLoadIsCountedAndAges(t *testing.T) {
+	is := is.New(t)
+	v, c := newInventory(inventory.Server{ID: "a", Service: "s"})
+	v.Started("a")
+	v.Started("a")
+	v.Finished("a")
+	is.Equal(v.Candidates("s")[0].InFlight, 1)
+	is.Equal(v.Candidates("s")[0].Reported, -1) // nothing was told
+	v.Answered("a", 5)
+	is.Equal(v.Candidates("s")[0].Reported, 5)
+	c.after(time.Second)
+	is.Equal(v.Candidates("s")[0].Reported, -1) // too old
+	v.Paced("a", 40*ms)
+	v.Paced("a", 90*ms)
+	is.Equal(v.Candidates("s")[0].Pace, 50*ms) // a fifth of the way
+}
+
+func TestVersionsSeenAreNewerThanTheEntry(t *testing.T) {
+	is := is.New(t)
+	entry := inventory.Server{ID: "a", Service: "s", Versions: map[string]int64{"m": 2, "n": 1}}
+	v, _ := newInventory(entry)
+	v.SawVersion("a", "m", 3)
+	is.Equal(v.Candidates("s")[0].Versions, map[string]int64{"m": 3, "n": 1})
+	is.Equal(entry.Versions["m"], int64(2)) // the entry is left as it is
+	entry.Versions = map[string]int64{"m": 4, "n": 1}
+	v.Set(entry)
+	is.Equal(v.Candidates("s")[0].Versions["m"], int64(4)) // its own word counts again
+}
+
+// TestRestartUnderTheSameID forgets what was seen of the earlier start.
+func TestRestartUnderTheSameID(t *testing.T) {
+	is := is.New(t)
+	v, _ := newInventory(inventory.Server{ID: "a", Service: "s", Started: 1})
+	v.Failed("a")
+	v.Paced("a", 40*ms)
+	v.SawVersion("a", "m", 3)
+	v.Set(inventory.Server{ID: "a", Service: "s", Started: 2})
+	c := v.Candidates("s")[0]
+	is.True(!c.Suspect)
+	is.Equal(c.Pace, time.Duration(0))
+	is.Equal(len(c.Versions), 0)
+}
+
+func TestChangedTellsOfEachChange(t *testing.T) {
+	is := is.New(t)
+	v, _ := newInventory(inventory.Server{ID: "a", Service: "s"})
+	told := func(change func()) bool {
+		changed := v.Changed()
+		change()
+		select {
+		case <-changed:
+			return true
+		default:
+			return false
+		}
+	}
+	is.True(told(func() { v.Set(inventory.Server{ID: "b", Service: "s"}) }))
+	is.True(told(func() { v.Remove("b") }))
+	v.Started("a")
+	is.True(told(func() { v.Finished("a") })) // a slot is free
+	is.True(!told(func() { v.Answered("a", 1) }))
+}
--- /dev/null
+++ b/internal/fleet/follow/follow_test.go
@@ -0,0 +1,173 @@
+package follow_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+
+	"github.com/nutmegway/nutmegway/internal/external/kv"
+	"github.com/nutmegway/nutmegway/internal/fleet/follow"
+	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
+	"github.com/nutmegway/nutmegway/internal/fleet/peer"
+	"github.com/nutmegway/nutmegway/internal/fleet/roster"
+	"github.com/nutmegway/nutmegway/internal/standin/kvmemory"
+)
+
+func hostIDs(n int) []string {
+	var ids []string
+	for i := range n {
+		ids = append(ids, fmt.Sprintf("h%03d", i))
+	}
+	return ids
+}
+
+func readersOf(hosts []string) []string {
+	var readers []string
+	for _, id := range hosts {
+		if follow.IsReader(id, hosts) {
+			readers = append(readers, id)
+		}
+	}
+	return readers
+}
+
+func TestReadersAreFewAndStay(t *testing.T) {
+	cases := map[string]struct{ hosts, want int }{
+		"one host": {1, 1}, "two hosts": {2, 2}, "a small site": {9, 2}, "a grown site": {73, 2}, "the planned size": {720, 18},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			hosts := hostIDs(c.hosts)
+			readers := readersOf(hosts)
+			is.Equal(len(readers), c.want)
+			if c.hosts < 9 {
+				return
+			}
+			gone := slices.DeleteFunc(slices.Clone(hosts), func(id string) bool { return id == readers[0] })
+			is.Equal(len(intersect(readers, readersOf(gone))), len(readers)-1) // the others go on
+		})
+	}
+}
+
+func intersect(a, b []string) []string {
+	return slices.DeleteFunc(slices.Clone(a), func(id string) bool { return !slices.Contains(b, id) })
+}
+
+// fleet has a reader that serves a mirror of store, and a follower's view of it.
+type fleet struct {
+	follower *follow.Source
+	reader   *mirror.Mirror
+	roster   *roster.Roster
+}
+
+const prefix = "a/"
+
+func newFleet(t *testing.T, store kv.Store) *fleet {
+	t.Helper()
+	logger := slog.New(slog.DiscardHandler)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{
+		reader: &mirror.Mirror{Logger: logger, Prefix: prefix, Store: store},
+		roster: &roster.Roster{Logger: logger, Store: store},
+	}
+	hosts := hostIDs(4)
+	var change mirror.Change
+	for _, id := range hosts {
+		value, err := json.Marshal(roster.Host{ID: id, Incarnation: id + "-1", Peer: address})
+		if err != nil {
+			t.Fatal(err)
+		}
+		change.Events = append(change.Events, kv.Event{Entry: kv.Entry{Key: roster.Prefix + id, ModRevision: 1, Value: value}})
+	}
+	f.roster.Apply(change)
+	self := slices.DeleteFunc(slices.Clone(hosts), func(id string) bool { return follow.IsReader(id, hosts) })[0]
+	pool := &peer.Pool{Options: peer.LocalOptions()}
+	f.follower = &follow.Source{Pool: pool, Roster: f.roster, Self: self}
+	server := &peer.Server{Address: address, Register: func(s *grpc.Server) { follow.Register(s, []*mirror.Mirror{f.reader}) }}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return server.Run(ctx) })
+	group.Go(func() error { return f.reader.Run(ctx) })
+	t.Cleanup(func() {
+		_ = pool.Close()
+		cancel()
+		_ = group.Wait()
+	})
+	return f
+}
+
+func put(t *testing.T, store kv.Store, key string) int64 {
+	t.Helper()
+	result, err := store.Commit(t.Context(), kv.Txn{Writes: []kv.Write{{Key: key, Value: []byte("v")}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result.Revision
+}
+
+// next follows until the reader answers; it may just have started.
+func (f *fleet) next(t *testing.T, prefix string, revision int64) mirror.News {
+	t.Helper()
+	for {
+		news, ok, err := f.follower.Follow(t.Context(), prefix, revision)
+		if ok && err == nil {
+			return news
+		}
+		time.Sleep(10 * time.Millisecond) // The test's own time limit ends a wait for ever.
+	}
+}
+
+func TestFollowerHearsWhatTheReaderKnows(t *testing.T) {
+	is := is.New(t)
+	store := &kvmemory.Store{}
+	put(t, store, "a/x")
+	f := newFleet(t, store)
+	news := f.next(t, prefix, 0)
+	is.True(news.Reset) // a host that knows nothing gets all
+	is.Equal(len(news.Events), 1)
+	revision := put(t, store, "a/y")
+	news = f.next(t, prefix, news.Revision)
+	is.True(!news.Reset)
+	is.Equal(len(news.Events), 1) // and then what has changed
+	is.Equal(news.Events[0].Entry.Key, "a/y")
+	is.Equal(news.Events[0].Entry.ModRevision, revision)
+	store.Remove("a/x")
+	news = f.next(t, prefix, news.Revision)
+	is.True(news.Events[0].Delete)
+}
+
+func TestFollowerTurnsElsewhere(t *testing.T) {
+	is := is.New(t)
+	store := &kvmemory.Store{}
+	put(t, store, "a/x")
+	f := newFleet(t, store)
+	known := f.next(t, prefix, 0).Revision
+	_, ok, err := f.follower.Follow(t.Context(), "b/", 0)
+	is.True(ok)
+	is.True(err != nil) // the reader has no such mirror
+	_, ok, err = f.follower.Follow(t.Context(), prefix, known+1)
+	is.True(ok)
+	is.True(err != nil) // the other reader is behind this host
+	_, ok, _ = f.follower.Follow(t.Context(), prefix, known)
+	is.True(!ok) // both have failed a moment ago: the store is asked
+	reader := &follow.Source{Pool: f.follower.Pool, Roster: f.roster, Self: readersOf(hostIDs(4))[0]}
+	_, ok, _ = reader.Follow(t.Context(), prefix, known)
+	is.True(!ok) // a reader asks the store itself
+}
