Catch up at once with an old list that isn't empty

Cause: the pause in which a fleet that starts gets to know its hosts also followed an old list that held the hosts from before. The pause now comes only after an empty list. After another one the first question goes to the store, since the hosts of the list may be gone. Test: with a pause of an hour and another host that doesn't answer, an old list is caught up with at once (a second late before).

--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -105,7 +105,7 @@
 	// OnChange is called for each change in order, by one goroutine.
 	OnChange func(Change)
 	Prefix   string
-	// Settle is the pause after a first list from Old. When a fleet starts, the
+	// Settle is the pause after an empty list from Old. When a fleet starts, the
 	// other hosts are known by then.
 	Settle time.Duration
 	// Source is asked instead of the store while it can be; nil asks the store.
@@ -135,8 +135,12 @@
 	pause := retryFirst
 	watcher := m.begin(ctx)
 	var lostSince time.Time
+	// The hosts of an old list may be gone, so that none of them is asked what has
+	// changed since.
+	old := watcher != nil
 	for ctx.Err() == nil {
-		next, err := m.step(ctx, watcher, lostSince)
+		next, err := m.step(ctx, watcher, lostSince, old)
+		old = false
 		switch {
 		case err == nil:
 			if !lostSince.IsZero() {
@@ -159,31 +163,36 @@
 	return nil
 }
 
-// begin takes over an old list, if there is one, and gives the other hosts time to
-// be known. It returns the watcher that goes on from the list; nil if the store
-// tells nothing old, as when the whole fleet starts.
+// begin takes over an old list and returns the watcher that goes on from it. If the
+// store tells nothing old, as when the whole fleet starts, it gives the other hosts
+// time to be known and returns nil.
 func (m *Mirror) begin(ctx context.Context) kv.Watcher {
 	if m.Old == nil {
 		return nil
 	}
-	var watcher kv.Watcher
 	entries, revision, err := m.Old.ListOld(ctx, m.Prefix)
-	if err == nil && revision > 0 {
-		m.apply(m.difference(entries), revision, 0)
-		watcher, err = m.Store.Watch(ctx, m.Prefix, revision)
-	}
 	if err != nil {
 		m.Logger.LogAttrs(ctx, slog.LevelInfo, "no old list", slog.String("prefix", m.Prefix), slog.Any("error", err))
 		return nil
 	}
-	wait.For(ctx, m.Settle)
+	if revision == 0 {
+		wait.For(ctx, m.Settle)
+		return nil
+	}
+	m.apply(m.difference(entries), revision, 0)
+	watcher, err := m.Store.Watch(ctx, m.Prefix, revision)
+	if err != nil {
+		m.Logger.LogAttrs(ctx, slog.LevelInfo, "old list not followed", slog.String("prefix", m.Prefix), slog.Any("error", err))
+		return nil
+	}
 	return watcher
 }
 
-// step lists when there is no watcher, and otherwise waits for one batch.
-func (m *Mirror) step(ctx context.Context, watcher kv.Watcher, lostSince time.Time) (kv.Watcher, error) {
+// step lists when there is no watcher, and otherwise waits for one batch. With
+// alone set no other host is asked.
+func (m *Mirror) step(ctx context.Context, watcher kv.Watcher, lostSince time.Time, alone bool) (kv.Watcher, error) {
 	gone := m.Compaction.Gone()
-	if m.follow(ctx, lostSince) {
+	if !alone && m.follow(ctx, lostSince) {
 		// The watch goes on from where the other host left off.
 		return m.Store.Watch(ctx, m.Prefix, m.at())
 	}
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -232,6 +232,17 @@
 	return o.entries, o.revision, nil
 }
 
+// lost is a host that doesn't answer for a minute and then not at all.
+type lost struct{}
+
+func (lost) Follow(ctx context.Context, _ string, _ int64) (mirror.News, bool, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Minute):
+	}
+	return mirror.News{}, true, errors.New("no answer")
+}
+
 // TestOldListIsCaughtUp begins with a list that lacks a change, a new key and a
 // removal.
 func TestOldListIsCaughtUp(t *testing.T) {
@@ -253,19 +264,23 @@
 			return kvmemory.FaultNone
 		})
 		r := &recorder{}
-		stop := start(t, &mirror.Mirror{Old: old, OnChange: r.onChange, Prefix: "a/", Settle: time.Second, Store: store})
+		var first mirror.Change
+		stop := start(t, &mirror.Mirror{Old: old, Prefix: "a/", Settle: time.Hour, Source: lost{}, Store: store, OnChange: func(c mirror.Change) {
+			if first.Events == nil {
+				first = c
+			}
+			r.onChange(c)
+		}})
 		defer stop()
-		time.Sleep(500 * time.Millisecond)
-		is.Equal(r.get("a/changed"), "1") // the old list is used at once
-		is.Equal(r.get("a/gone"), "1")
-		time.Sleep(time.Second)
-		is.Equal(r.get("a/changed"), "2")
+		synctest.Wait()
+		is.Equal(len(first.Events), 2)    // the old list is used
+		is.Equal(r.get("a/changed"), "2") // and caught up with at once, as after the loss of all hosts
 		is.Equal(r.get("a/new"), "1")
 		is.Equal(r.get("a/gone"), "")
 		is.Equal(lists, 0)
 		store.Compact()
 		put(t, store, "a/new", "2")
-		time.Sleep(time.Minute)
+		time.Sleep(2 * time.Minute)
 		is.Equal(r.get("a/new"), "2")
 	})
 }
