--- a/internal/lab/path/path.go
+++ b/internal/lab/path/path.go
@@ -10,10 +10,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
-	"net/http/httputil"
-	"net/url"
 	"runtime"
 	"strings"
 	"time"
@@ -41,6 +40,9 @@
 	// cancel call included; settlePause is the time between two looks.
 	settleLimit = 5 * time.Second
 	settlePause = 10 * time.Millisecond
+	// forwardBuffer is how much the forwarder reads at once, in bytes; an event of a
+	// stream has some hundred.
+	forwardBuffer = 4 << 10
 )
 
 // The targets of the measure.
@@ -74,7 +76,7 @@
 	deployed *deployment.Deployment
 	direct   route
 	first    error
-	// forwarded goes through the standard library's proxy, which decides nothing.
+	// forwarded goes through a process that decides nothing.
 	forwarded route
 	lost      int
 	proxied   route
@@ -105,17 +107,38 @@
 	return r.report, err
 }
 
-// forwarder serves what the standard library's proxy alone makes of the path to
-// address, with the same kept connections as the entry host's.
+// forwarder passes requests on to address and decides nothing, with the same kept
+// connections as the entry host's. It shows what net/http costs on both sides.
 func forwarder(address string, connections int) *httptest.Server {
-	to, err := url.Parse(address)
-	if err != nil {
-		panic(err) // The address was made above.
-	}
-	proxy := httputil.NewSingleHostReverseProxy(to)
-	proxy.FlushInterval = -1
-	proxy.Transport = &http.Transport{MaxIdleConnsPerHost: connections}
-	return httptest.NewServer(proxy)
+	transport := &http.Transport{MaxIdleConnsPerHost: connections}
+	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		outgoing, err := http.NewRequestWithContext(r.Context(), r.Method, address+r.RequestURI, r.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		outgoing.ContentLength, outgoing.Header = r.ContentLength, r.Header
+		response, err := transport.RoundTrip(outgoing)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		defer response.Body.Close() //nolint:errcheck // The body was read.
+		maps.Copy(w.Header(), response.Header)
+		w.WriteHeader(response.StatusCode)
+		controller := http.NewResponseController(w)
+		buffer := make([]byte, forwardBuffer)
+		for {
+			n, err := response.Body.Read(buffer)
+			if _, writeErr := w.Write(buffer[:n]); writeErr != nil || controller.Flush() != nil {
+				panic(http.ErrAbortHandler)
+			}
+			if errors.Is(err, io.EOF) {
+				return
+			}
+			if err != nil {
+				panic(http.ErrAbortHandler)
+			}
+		}
+	}))
 }
 
 func (r *run) phases(ctx context.Context) error {
