--- a/internal/fleet/follow/follow_test.go
+++ b/internal/fleet/follow/follow_test.go
@@ -123,7 +123,7 @@
 }
 
 // next follows until the reader answers; it may just have started.
-func (f *fleet) next(t *testing.T, prefix string, revision int64) mirror.News {
+func (f *fleet) next(t *testing.T, revision int64) mirror.News {
 	t.Helper()
 	for {
 		news, ok, err := f.follower.Follow(t.Context(), prefix, revision)
@@ -139,17 +139,17 @@
 	store := &kvmemory.Store{}
 	put(t, store, "a/x")
 	f := newFleet(t, store)
-	news := f.next(t, prefix, 0)
+	news := f.next(t, 0)
 	is.True(news.Reset) // a host that knows nothing gets all
 	is.Equal(len(news.Events), 1)
 	revision := put(t, store, "a/y")
-	news = f.next(t, prefix, news.Revision)
+	news = f.next(t, news.Revision)
 	is.True(!news.Reset)
 	is.Equal(len(news.Events), 1) // and then what has changed
 	is.Equal(news.Events[0].Entry.Key, "a/y")
 	is.Equal(news.Events[0].Entry.ModRevision, revision)
 	store.Remove("a/x")
-	news = f.next(t, prefix, news.Revision)
+	news = f.next(t, news.Revision)
 	is.True(news.Events[0].Delete)
 }
 
@@ -158,7 +158,7 @@
 	store := &kvmemory.Store{}
 	put(t, store, "a/x")
 	f := newFleet(t, store)
-	known := f.next(t, prefix, 0).Revision
+	known := f.next(t, 0).Revision
 	_, ok, err := f.follower.Follow(t.Context(), "b/", 0)
 	is.True(ok)
 	is.True(err != nil) // the reader has no such mirror
