--- /dev/null
+++ b/internal/rollout/batchrun/leave_test.go
@@ -0,0 +1,81 @@
+package batchrun_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegway/nutmegway/internal/rollout/batch"
+	"github.com/nutmegway/nutmegway/internal/standin/kvmemory"
+)
+
+func TestLeavingHostHandsItsTextOver(t *testing.T) {
+	is := is.New(t)
+	store := &kvmemory.Store{}
+	engine := newEngine(t)
+	reached := make(chan struct{})
+	var once sync.Once
+	engine.handle = func(w http.ResponseWriter, r *http.Request) bool {
+		if r.Header.Get("Resume-After") != "" {
+			return false
+		}
+		engine.stream(w, r, 3)
+		once.Do(func() { close(reached) })
+		<-r.Context().Done()
+		return true
+	}
+	a, b := newHost(t, "a", store, engine), newHost(t, "b", store, engine)
+	is.NoErr(a.service.Submit(t.Context(), sample(1)))
+	<-reached
+	for a.inventory.Candidates("s")[0].Pace == 0 {
+		time.Sleep(time.Millisecond) // until the host has read two of the events
+	}
+	a.stop()
+	checkWhole(t, readAll(t, b.service), 1)
+	requests := engine.requests()
+	is.Equal(len(requests), 2)
+	is.True(requests[1] == "x-i0@2" || requests[1] == "x-i0@3") // it goes on and does not begin anew
+}
+
+// TestLeavingHostFinishes lets a host that was told to stop end what it runs, so
+// that no item moves, and lets it take nothing new.
+func TestLeavingHostFinishes(t *testing.T) {
+	is := is.New(t)
+	store := &kvmemory.Store{}
+	engine := newEngine(t)
+	reached, release := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	engine.handle = func(http.ResponseWriter, *http.Request) bool {
+		once.Do(func() { close(reached) })
+		<-release
+		return false
+	}
+	a, b := newHost(t, "a", store, engine), newHost(t, "b", store, engine)
+	is.NoErr(a.service.Submit(t.Context(), sample(1)))
+	<-reached
+	finished := make(chan struct{})
+	var group errgroup.Group
+	group.Go(func() error {
+		a.service.Runner.Finish(t.Context())
+		close(finished)
+		return nil
+	})
+	other := sample(1)
+	other.ID = "y"
+	for a.service.Adopt(t.Context(), batch.Head{ID: other.ID, Owner: a.service.Runner.Self, Total: 1}, other) {
+		other.ID += "y" // it came before Finish; the next one is refused
+	}
+	select {
+	case <-finished:
+		t.Error("the host has not waited for its batch")
+	default:
+	}
+	close(release)
+	is.NoErr(group.Wait())
+	a.stop()
+	checkWhole(t, readAll(t, b.service), 1)
+}
