Ask for the reward of each whole text before its result is listed

An item may name a reward request. Once its text is whole, the owner of the batch sends it to a plain server of the request's route; the signature of a 2xx is the result's score. rollout/reward decides, without I/O, which call is due at which server: groups nearest to whole first, half of each server's slots left to people, a third at most for one host, a second server after the route's objective, an answer of 500 counted as a failed run and nothing else. A server that had the call before gets it over a connection of its own, since a late copy of its first answer would pass for the new one (TestALateCopyIsNoScore fails without). Texts that lack only their score are kept with the partial texts, and any next owner scores them.

Ruled out: forward.Serve for these calls, which neither counts failed runs nor lets people go first.

TestGroupsNearestToWholeGoFirst: groups of a burst are whole after 310 ms on average, 435 ms by order of arrival.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -150,6 +150,7 @@
 	h.runner = &batchrun.Runner{
 		Batches: batches, Config: h.config.Load, Inventory: h.inventory, Logger: h.Logger,
 		Generation: &generation.Client{Dialect: h.Dialect, Logger: h.Logger, Plain: h.Plain},
+		Rewards:    h.Forwarder,
 		Self:       batch.Owner{Host: h.Settings.ID, Incarnation: incarnation},
 	}
 	h.Batches = &batchrun.Service{
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -99,7 +99,7 @@
 	defer cancel()
 	x := &exchange{
 		Forwarder: f, request: request, deadline: deadline, service: route.PickService(rand.Float64()),
-		attempts: attempts{route: route, self: f.Self, zone: f.Zone, tried: make(map[string]struct{})},
+		attempts: attempts{chooser: f.Chooser(), route: route, tried: make(map[string]struct{})},
 		answers:  make(chan answer),
 	}
 	group, groupCtx := errgroup.WithContext(ctx)
@@ -124,6 +124,35 @@
 	return nil
 }
 
+// Chooser returns how this host chooses servers for single requests.
+func (f *Forwarder) Chooser() Chooser { return Chooser{Self: f.Self, Zone: f.Zone} }
+
+// Outcome is what one try at one server gave.
+type Outcome struct {
+	// Err is set if no whole answer came.
+	Err    error
+	Header http.Header
+	Ran    kind.Ran
+	Status int
+}
+
+// Try sends a request that may be repeated to one server and reads its whole answer,
+// whose body is dropped. once asks for a connection of its own.
+func (f *Forwarder) Try(
+	ctx context.Context, candidate inventory.Candidate, request Request, deadline time.Time, once bool,
+) Outcome {
+	a := f.try(ctx, candidate, request, deadline, once)
+	defer a.close()
+	if a.response == nil {
+		return Outcome{Err: a.err, Ran: a.ran}
+	}
+	outcome := Outcome{Header: a.response.Header, Ran: a.ran, Status: a.response.StatusCode}
+	if a.rest {
+		outcome.Err = kind.New(kind.BackendFailed, "the answer has %d bytes or more", bufferBytes)
+	}
+	return outcome
+}
+
 // exchange is one request on its way.
 type exchange struct {
 	*Forwarder
@@ -211,7 +240,7 @@
 	}
 	x.attempts.started(candidate.ID)
 	x.group.Go(func() error {
-		a := x.try(ctx, candidate)
+		a := x.try(ctx, candidate, x.request, x.deadline, x.attempts.route.Repeat != config.RepeatFree)
 		select {
 		case x.answers <- a:
 		case <-ctx.Done():
@@ -221,28 +250,30 @@
 	})
 }
 
-// try sends the request to one server and reads the start of its answer.
-func (x *exchange) try(ctx context.Context, candidate inventory.Candidate) answer {
-	x.Inventory.Started(candidate.ID)
-	defer x.Inventory.Finished(candidate.ID)
-	header := x.request.Header.Clone()
-	header.Set(x.Dialect.BudgetMillis, strconv.FormatInt(max(time.Until(x.deadline).Milliseconds(), 1), 10))
-	header.Set(x.Dialect.ExpectServer, candidate.ID)
-	response, err := x.Client.Do(ctx, candidate.Address, plain.Request{
-		Body: bytes.NewReader(x.request.Body), Header: header, Host: x.request.Host, Length: int64(len(x.request.Body)),
-		Method: x.request.Method, Once: x.attempts.route.Repeat != config.RepeatFree,
-		RequestID: x.request.ID, Target: x.request.Target,
+// try sends the request to one server and reads the start of its answer. once asks
+// for a connection of its own.
+func (f *Forwarder) try(
+	ctx context.Context, candidate inventory.Candidate, request Request, deadline time.Time, once bool,
+) answer {
+	f.Inventory.Started(candidate.ID)
+	defer f.Inventory.Finished(candidate.ID)
+	header := request.Header.Clone()
+	header.Set(f.Dialect.BudgetMillis, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
+	header.Set(f.Dialect.ExpectServer, candidate.ID)
+	response, err := f.Client.Do(ctx, candidate.Address, plain.Request{
+		Body: bytes.NewReader(request.Body), Header: header, Host: request.Host, Length: int64(len(request.Body)),
+		Method: request.Method, Once: once, RequestID: request.ID, Target: request.Target,
 	})
 	if err != nil {
 		if ctx.Err() == nil {
-			x.Inventory.Failed(candidate.ID)
+			f.Inventory.Failed(candidate.ID)
 		}
 		return answer{server: candidate.ID, err: err, ran: kind.Of(err).Ran}
 	}
 	a := answer{server: candidate.ID, response: response, ran: kind.RanYes}
-	if response.Header.Get(x.Dialect.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
+	if response.Header.Get(f.Dialect.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		a.ran = kind.RanNo
-		x.Inventory.Full(candidate.ID, shortestReturn)
+		f.Inventory.Full(candidate.ID, shortestReturn)
 		return a
 	}
 	if strings.HasPrefix(response.Header.Get("Content-Type"), contentEvents) {
@@ -255,7 +286,7 @@
 		return answer{server: candidate.ID, err: err, ran: kind.RanUnknown}
 	}
 	a.rest = len(a.head) == bufferBytes
-	x.Inventory.Answered(candidate.ID, LoadTold(response.Header.Get(x.Dialect.Load)))
+	f.Inventory.Answered(candidate.ID, LoadTold(response.Header.Get(f.Dialect.Load)))
 	return a
 }
 
--- a/internal/request/forward/policy.go
+++ b/internal/request/forward/policy.go
@@ -43,10 +43,8 @@
 
 // attempts follows the tries of one request. It does no I/O.
 type attempts struct {
-	route config.Route
-	// self is the id of this host.
-	self string
-	zone string
+	chooser Chooser
+	route   config.Route
 
 	// mayHaveRun counts the tries after which the request may have run.
 	mayHaveRun int
@@ -66,19 +64,33 @@
 	return a.mayHaveRun+a.pending < limit && a.notRun < limit*refusalsPerAttempt
 }
 
-// choose returns the untried server with the least load for a single request
+func (a *attempts) choose(candidates []inventory.Candidate) (inventory.Candidate, bool) {
+	return a.chooser.Choose(candidates, a.tried)
+}
+
+// Chooser chooses servers for the single requests of one host.
+type Chooser struct {
+	// Self is the id of the host.
+	Self string
+	// Zone is the availability zone of the host.
+	Zone string
+}
+
+// Choose returns the untried server with the least load for a single request
 // of some ten milliseconds. Each host prefers a server of its own: a few requests
 // a second, spread over all servers, find each idle connection closed, and those
 // of many hosts meet at the servers by chance anyway. A small random part keeps
 // hosts that turn away from a loaded server from choosing the same one.
-func (a *attempts) choose(candidates []inventory.Candidate) (inventory.Candidate, bool) {
-	home := a.home(candidates)
+func (c Chooser) Choose(
+	candidates []inventory.Candidate, tried map[string]struct{},
+) (inventory.Candidate, bool) {
+	home := c.home(candidates)
 	best, lowest := -1, 0.0
-	for i, c := range candidates {
-		if _, ok := a.tried[c.ID]; ok {
+	for i, candidate := range candidates {
+		if _, ok := tried[candidate.ID]; ok {
 			continue
 		}
-		cost := a.cost(c, home)
+		cost := c.cost(candidate, home)
 		if best < 0 || cost < lowest {
 			best, lowest = i, cost
 		}
@@ -90,30 +102,30 @@
 }
 
 // home returns the server that this host prefers, in its own zone if there is one.
-func (a *attempts) home(candidates []inventory.Candidate) string {
+func (c Chooser) home(candidates []inventory.Candidate) string {
 	var near, all []string
-	for _, c := range candidates {
-		all = append(all, c.ID)
-		if c.Zone == a.zone {
-			near = append(near, c.ID)
+	for _, candidate := range candidates {
+		all = append(all, candidate.ID)
+		if candidate.Zone == c.Zone {
+			near = append(near, candidate.ID)
 		}
 	}
 	if len(near) == 0 {
 		near = all
 	}
-	return rendezvous.Owner(a.self, near)
+	return rendezvous.Owner(c.Self, near)
 }
 
-func (a *attempts) cost(c inventory.Candidate, home string) float64 {
-	used := float64(max(c.InFlight, c.Reported)+1) / float64(max(c.Slots, 1))
+func (c Chooser) cost(candidate inventory.Candidate, home string) float64 {
+	used := float64(max(candidate.InFlight, candidate.Reported)+1) / float64(max(candidate.Slots, 1))
 	cost := max(used-freeShare, 0)
-	if c.Zone != a.zone {
+	if candidate.Zone != c.Zone {
 		cost += crossZoneCost
 	}
-	if c.ID != home {
+	if candidate.ID != home {
 		cost += strangeCost + rand.Float64()*crossZoneCost/2
 	}
-	if c.Suspect {
+	if candidate.Suspect {
 		cost += suspectCost
 	}
 	return cost
--- a/internal/request/forward/policy_test.go
+++ b/internal/request/forward/policy_test.go
@@ -17,8 +17,7 @@
 
 func chosen(t *testing.T, self string, candidates ...inventory.Candidate) string {
 	t.Helper()
-	a := attempts{self: self, tried: map[string]struct{}{}, zone: "a"}
-	c, ok := a.choose(candidates)
+	c, ok := Chooser{Self: self, Zone: "a"}.Choose(candidates, nil)
 	is.New(t).True(ok)
 	return c.ID
 }
--- a/internal/rollout/batch/batch.go
+++ b/internal/rollout/batch/batch.go
@@ -27,12 +27,24 @@
 	// LengthHint is the caller's estimate of the tokens to generate; zero if
 	// there is none.
 	LengthHint int `json:"length-hint"`
+	// Reward is the request that scores the item's text; nil if none does.
+	Reward *Reward `json:"reward,omitempty"`
 	// Target is the path of the item's request.
 	Target string `json:"target"`
 	// Tokens is the number of prompt tokens and of tokens to generate at most.
 	Tokens int `json:"tokens"`
 }
 
+// Reward is a request to a plain service that scores the text of an item once it is
+// complete. It may be repeated.
+type Reward struct {
+	Body []byte `json:"body"`
+	// Host and Target select the route, as with single requests.
+	Host   string `json:"host"`
+	ID     string `json:"id"`
+	Target string `json:"target"`
+}
+
 // Batch is what a trainer submits for one step.
 type Batch struct {
 	// Host and Target select the route, as with single requests.
@@ -50,7 +62,10 @@
 
 // Result is the outcome of one item.
 type Result struct {
-	Item  string `json:"item"`
+	Item string `json:"item"`
+	// Score is the signature of the server's answer to the item's reward request;
+	// empty if the item has none.
+	Score string `json:"score,omitempty"`
 	State State  `json:"state"`
 	// Text is the data of all events, separated by line feeds.
 	Text string `json:"text"`
--- a/internal/rollout/batch/partial.go
+++ b/internal/rollout/batch/partial.go
@@ -16,6 +16,8 @@
 	Item      string   `json:"item"`
 	LastEvent string   `json:"last-event"`
 	Versions  []int64  `json:"versions"`
+	// Whole is set if the text is complete and only its score is missing.
+	Whole bool `json:"whole,omitempty"`
 }
 
 // SavePartials keeps the parts that a leaving owner has. What doesn't fit is
--- a/internal/rollout/batchlink/batchlink.go
+++ b/internal/rollout/batchlink/batchlink.go
@@ -77,7 +77,7 @@
 	reply := &batchlinkpb.ReadReply{Known: true, Next: int64(page.Next), Total: int64(page.Total)}
 	for _, result := range page.Results {
 		reply.Results = append(reply.Results, &batchlinkpb.Result{
-			Item: result.Item, State: string(result.State), Text: result.Text, Versions: result.Versions,
+			Item: result.Item, Score: result.Score, State: string(result.State), Text: result.Text, Versions: result.Versions,
 		})
 	}
 	return reply, nil
@@ -131,7 +131,7 @@
 	page := batch.Page{Next: int(reply.GetNext()), Total: int(reply.GetTotal())}
 	for _, r := range reply.GetResults() {
 		page.Results = append(page.Results, batch.Result{
-			Item: r.GetItem(), State: batch.State(r.GetState()), Text: r.GetText(), Versions: r.GetVersions(),
+			Item: r.GetItem(), Score: r.GetScore(), State: batch.State(r.GetState()), Text: r.GetText(), Versions: r.GetVersions(),
 		})
 	}
 	return page, true, nil
--- a/internal/rollout/batchrun/batchrun_test.go
+++ b/internal/rollout/batchrun/batchrun_test.go
@@ -23,6 +23,7 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
 	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
 	"github.com/nutmegway/nutmegway/internal/fleet/roster"
+	"github.com/nutmegway/nutmegway/internal/request/forward"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
 	"github.com/nutmegway/nutmegway/internal/rollout/batchrun"
 	"github.com/nutmegway/nutmegway/internal/standin/kvmemory"
@@ -30,7 +31,7 @@
 
 var headers = dialect.Dialect{
 	BudgetMillis: "Budget", ExpectServer: "Expect-Server", Load: "Load", NotRun: "Not-Run",
-	ResumeAfter: "Resume-After", WeightVersion: "Weight-Version",
+	ResumeAfter: "Resume-After", Stamp: "Stamp", WeightVersion: "Weight-Version",
 }
 
 // engineServer streams events of an item, numbered from 1 on.
@@ -102,14 +103,21 @@
 			Versions: map[string]int64{"m": 1},
 		})
 	}
-	c := &config.Config{Routes: []config.Route{{
-		Host: "example", ItemLimit: time.Hour, MaxAttempts: 3, Prefix: "/r/", Repeat: config.RepeatBatch,
-		Targets: []config.Target{{Service: "s", Weight: 1}},
-	}}}
+	c := &config.Config{Routes: []config.Route{
+		{
+			Host: "example", ItemLimit: time.Hour, MaxAttempts: 3, Prefix: "/r/", Repeat: config.RepeatBatch,
+			Targets: []config.Target{{Service: "s", Weight: 1}},
+		},
+		{
+			Host: "example", MaxAttempts: 2, Objective: 50 * time.Millisecond, Prefix: "/score/", Repeat: config.RepeatFree,
+			Targets: []config.Target{{Service: "scorers", Weight: 1}}, Timeout: time.Second,
+		},
+	}}
 	batches := &batch.Store{KV: store}
 	runner := &batchrun.Runner{
 		Batches: batches, Config: func() *config.Config { return c }, Inventory: inv, Logger: logger,
 		Generation: &generation.Client{Dialect: headers, Logger: logger, Plain: &plain.Client{}},
+		Rewards:    &forward.Forwarder{Client: &plain.Client{}, Dialect: headers, Inventory: inv, Logger: logger, Self: id},
 		Self:       batch.Owner{Host: id, Incarnation: "1"},
 	}
 	index := &batch.Index{Logger: logger, OnHead: runner.Observe}
--- a/internal/rollout/batchrun/instruments.go
+++ b/internal/rollout/batchrun/instruments.go
@@ -10,12 +10,15 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/nutmegway/nutmegway/internal/backend/generation"
+	"github.com/nutmegway/nutmegway/internal/rollout/reward"
 )
 
 // instruments count what became of runs of items. The zero value counts nothing.
 type instruments struct {
-	runs    metric.Int64Counter
-	seconds metric.Float64Histogram
+	rewards       metric.Int64Counter
+	rewardSeconds metric.Float64Histogram
+	runs          metric.Int64Counter
+	seconds       metric.Float64Histogram
 }
 
 func newInstruments(logger *slog.Logger) instruments {
@@ -30,7 +33,17 @@
 	if err != nil {
 		logger.Error("metric not made", slog.Any("error", err))
 	}
-	return instruments{runs: runs, seconds: seconds}
+	rewards, err := meter.Int64Counter("nutmegway.batch.rewards",
+		metric.WithDescription("Tries of reward calls at plain servers by verdict."))
+	if err != nil {
+		logger.Error("metric not made", slog.Any("error", err))
+	}
+	rewardSeconds, err := meter.Float64Histogram("nutmegway.batch.reward.duration",
+		metric.WithDescription("Time of a try of a reward call by verdict."), metric.WithUnit("s"))
+	if err != nil {
+		logger.Error("metric not made", slog.Any("error", err))
+	}
+	return instruments{rewards: rewards, rewardSeconds: rewardSeconds, runs: runs, seconds: seconds}
 }
 
 func (i instruments) count(outcome generation.Outcome, took time.Duration) {
@@ -41,3 +54,12 @@
 	i.runs.Add(context.Background(), 1, attributes)
 	i.seconds.Record(context.Background(), took.Seconds(), attributes)
 }
+
+func (i instruments) countReward(verdict reward.Verdict, took time.Duration) {
+	if i.rewards == nil || i.rewardSeconds == nil {
+		return
+	}
+	attributes := metric.WithAttributes(attribute.String("verdict", verdict.String()))
+	i.rewards.Add(context.Background(), 1, attributes)
+	i.rewardSeconds.Record(context.Background(), took.Seconds(), attributes)
+}
--- a/internal/rollout/batchrun/list.go
+++ b/internal/rollout/batchrun/list.go
@@ -186,15 +186,17 @@
 	}
 }
 
-// partials returns the texts of unfinished items with at least so many events.
+// partials returns the texts of unfinished items with at least so many events, and
+// those that lack only their score.
 func (x *run) partials(events int) []batch.Partial {
 	x.runner.mu.Lock()
 	defer x.runner.mu.Unlock()
 	var partials []batch.Partial
 	for _, s := range x.items {
-		if !s.done && len(s.events) >= events {
+		if !s.done && (s.whole || len(s.events) >= events) {
 			partials = append(partials, batch.Partial{
 				Events: slices.Clone(s.events), Item: s.item.ID, LastEvent: s.last, Versions: slices.Clone(s.versions),
+				Whole: s.whole,
 			})
 		}
 	}
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -15,6 +15,7 @@
 	"github.com/nutmegway/nutmegway/internal/request/forward"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
 	"github.com/nutmegway/nutmegway/internal/rollout/placing"
+	"github.com/nutmegway/nutmegway/internal/rollout/reward"
 )
 
 const (
@@ -40,9 +41,14 @@
 	failures int
 	last     string
 	moves    int
+	// reward is the call that scores the text; nil unless the text is whole and has
+	// no score yet.
+	reward   *reward.Call[*scoring]
 	running  bool
 	started  bool
 	versions []int64
+	// whole is set once the text is complete.
+	whole bool
 }
 
 // run is one batch that this host owns. The fields below mu of the runner are
@@ -103,6 +109,7 @@
 		// A key of an earlier save may hold a shorter text of the same item.
 		if i, ok := x.byID[p.Item]; ok && !x.items[i].done && len(p.Events) > len(x.items[i].events) {
 			x.items[i].events, x.items[i].last, x.items[i].versions = p.Events, p.LastEvent, p.Versions
+			x.items[i].whole = p.Whole
 		}
 	}
 	x.order = placing.Order(b.Items)
@@ -131,7 +138,7 @@
 ) []inventory.Candidate {
 	for _, i := range x.order {
 		s := x.items[i]
-		if s.done || s.running {
+		if s.done || s.running || s.whole {
 			continue
 		}
 		demand := x.demand(s, route.SingleVersion)
@@ -262,9 +269,12 @@
 			s.reset()
 			return
 		}
-		x.finish(s, batch.Result{
-			Item: s.item.ID, State: batch.StateCompleted, Text: strings.Join(s.events, "\n"), Versions: s.versions,
-		})
+		s.whole = true
+		if s.item.Reward != nil {
+			x.askReward(s)
+			return
+		}
+		x.complete(s, "")
 	case generation.OutcomeFailed:
 		s.failures++
 		s.avoid = engine.ID
@@ -286,6 +296,14 @@
 	}
 }
 
+// complete lists an item whose text is whole, with its score. The runner's mutex is
+// held.
+func (x *run) complete(s *itemState, score string) {
+	x.finish(s, batch.Result{
+		Item: s.item.ID, Score: score, State: batch.StateCompleted, Text: strings.Join(s.events, "\n"), Versions: s.versions,
+	})
+}
+
 // finish notes the result of an item. The runner's mutex is held.
 func (x *run) finish(s *itemState, result batch.Result) {
 	if s.done {
@@ -293,6 +311,7 @@
 	}
 	s.done = true
 	s.events = nil
+	x.dropReward(s)
 	x.pending = append(x.pending, result)
 	x.groupLeft[s.item.Group]--
 	if x.groupLeft[s.item.Group] == 0 {
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -16,8 +16,10 @@
 	"github.com/nutmegway/nutmegway/internal/backend/generation"
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
+	"github.com/nutmegway/nutmegway/internal/request/forward"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
 	"github.com/nutmegway/nutmegway/internal/rollout/placing"
+	"github.com/nutmegway/nutmegway/internal/rollout/reward"
 )
 
 const (
@@ -46,7 +48,9 @@
 	// OnHead is told a head that the store holds and that this host did not
 	// expect.
 	OnHead func(batch.Head)
-	Self   batch.Owner
+	// Rewards sends the reward requests of items whose text is whole.
+	Rewards *forward.Forwarder
+	Self    batch.Owner
 
 	mu       sync.Mutex
 	closed   closedResults
@@ -55,7 +59,9 @@
 	finishing bool
 	group     *errgroup.Group
 	metrics   instruments
-	runs      map[string]*run
+	// rewards are the reward calls that have no answer yet.
+	rewards reward.Queue[*scoring]
+	runs    map[string]*run
 	// typical is the median pace of each service's engines.
 	typical map[string]time.Duration
 	wake    chan struct{}
@@ -67,6 +73,9 @@
 	defer r.mu.Unlock()
 	r.group = group
 	r.metrics = newInstruments(r.Logger)
+	if r.Rewards != nil {
+		r.rewards.Choose = r.Rewards.Chooser().Choose
+	}
 	r.runs = make(map[string]*run)
 	r.typical = make(map[string]time.Duration)
 	r.wake = make(chan struct{}, 1)
@@ -113,6 +122,7 @@
 	x.ctx, x.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	r.runs[head.ID] = x
 	r.closed.drop(head.ID)
+	x.resumeRewards()
 	r.Logger.LogAttrs(ctx, slog.LevelInfo, "batch adopted", slog.String("batch", head.ID),
 		slog.String("model", b.Model), slog.Int64("step", b.Step), slog.Int64("min-version", b.MinVersion),
 		slog.Int("items", len(b.Items)), slog.Int("target-groups", b.TargetGroups), slog.Int("listed", len(listed)), slog.Int("partial", len(partials)),
@@ -160,6 +170,7 @@
 	delete(r.runs, head.ID)
 	r.keepClosed(x, head)
 	x.cancel()
+	x.dropRewards()
 	done, running, started := x.count()
 	r.Logger.Info("batch stopped", slog.String("batch", head.ID), slog.Bool("ended", head.Ended),
 		slog.Bool("done", head.Done), slog.String("owner", head.Owner.Host), slog.Int("items", len(x.items)),
@@ -244,6 +255,7 @@
 		}
 		byService[service] = x.place(ctx, route, service, candidates, now)
 	}
+	r.startRewards(c, now)
 }
 
 // Finish takes no new batches and lets those that this host runs go on until they
--- a/internal/rollout/batchrun/service.go
+++ b/internal/rollout/batchrun/service.go
@@ -388,18 +388,19 @@
 	s.adopt(ctx, claimed, b, listed, s.partials(ctx, head))
 }
 
-// partials reads the texts that the owner before has kept, if its streams are
-// certainly closed: an item must not go on while another host still reads it.
+// partials reads the texts that the owner before has kept. One that isn't whole is
+// used only if its stream is certainly closed: an item must not go on while another
+// host still reads it.
 func (s *Service) partials(ctx context.Context, head batch.Head) []batch.Partial {
-	givenUp := head.Owner == batch.Owner{}
-	if !givenUp && !s.returned(head.Owner) {
-		return nil
-	}
 	partials, err := s.Batches.Partials(ctx, head.ID)
 	if err != nil {
 		s.Logger.LogAttrs(ctx, slog.LevelWarn, "partial texts not loaded", slog.String("batch", head.ID), slog.Any("error", err))
 	}
-	return partials
+	givenUp := head.Owner == batch.Owner{}
+	if givenUp || s.returned(head.Owner) {
+		return partials
+	}
+	return slices.DeleteFunc(partials, func(p batch.Partial) bool { return !p.Whole })
 }
 
 // adopt runs a batch, unless it was ended or claimed while it was loaded.
