--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -143,7 +143,7 @@
 		Logger: h.Logger, Store: h.store,
 		Self: roster.Host{
 			Address: h.Settings.CallerAddress, ID: h.Settings.ID, Incarnation: incarnation,
-			Peer: h.Settings.PeerAddress, Zone: h.Settings.Zone,
+			Peer: h.Settings.PeerAddress, Processor: h.Settings.Processor, Zone: h.Settings.Zone,
 		},
 	}
 	batches := &batch.Store{KV: h.store}
--- a/internal/entry/host/settings.go
+++ b/internal/entry/host/settings.go
@@ -38,6 +38,8 @@
 	// PeerAddress is where other hosts connect; empty leaves the store as the
 	// only way between hosts.
 	PeerAddress string
+	// Processor is the host's share of a core, or its cores; zero if it isn't known.
+	Processor float64
 	// ReadyAddress is where the platform asks whether the host is ready.
 	ReadyAddress string
 	// ResultRetention is how long results are kept after a submission.
@@ -55,6 +57,9 @@
 	if s.Grace < 0 || s.MaxAddressTTL < 0 || s.OrderSpacing < 0 || s.ResultRetention < 0 {
 		mistakes = append(mistakes, classError.New("a duration is negative"))
 	}
+	if s.Processor < 0 {
+		mistakes = append(mistakes, classError.New("the processor share is negative"))
+	}
 	addresses := map[string]string{
 		"callers": s.CallerAddress, "directory": s.DirectoryAddress, "metrics": s.MetricsAddress, "peers": s.PeerAddress, "ready": s.ReadyAddress,
 	}
@@ -85,6 +90,7 @@
 		{"metrics-address", s.MetricsAddress != other.MetricsAddress},
 		{"order-spacing", s.OrderSpacing != other.OrderSpacing},
 		{"peer-address", s.PeerAddress != other.PeerAddress},
+		{"processor", s.Processor != other.Processor},
 		{"ready-address", s.ReadyAddress != other.ReadyAddress},
 		{"result-retention", s.ResultRetention != other.ResultRetention},
 		{"store-address", s.StoreAddress != other.StoreAddress},
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -51,7 +51,9 @@
 	Leaving bool `json:"leaving"`
 	// Peer is where other hosts connect; empty if they don't.
 	Peer string `json:"peer"`
-	Zone string `json:"zone"`
+	// Processor is the host's share of a core, or its cores; zero if it isn't known.
+	Processor float64 `json:"processor,omitempty"`
+	Zone      string  `json:"zone"`
 }
 
 // Roster registers this host and knows the others. The fields are set before
@@ -204,6 +206,20 @@
 	return ids
 }
 
+// strongShare is the share of the strongest host's processor that makes a host a
+// strong one.
+const strongShare = 0.5
+
+// Strong returns the hosts that have at least half as much of a processor as the one
+// with the most: those that can carry the streams of a whole batch.
+func Strong(hosts []Host) []Host {
+	var most float64
+	for _, h := range hosts {
+		most = max(most, h.Processor)
+	}
+	return slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return h.Processor < strongShare*most })
+}
+
 // Get returns a listed host, leaving or not.
 func (r *Roster) Get(id string) (Host, bool) {
 	r.mu.Lock()
--- a/internal/rollout/batchrun/service.go
+++ b/internal/rollout/batchrun/service.go
@@ -89,19 +89,6 @@
 	return nil
 }
 
-// ownerOf returns the host that runs the batches of a model. One host for each
-// keeps the connections to the engines and what is known of their pace.
-func (s *Service) ownerOf(model string) roster.Host {
-	hosts := s.Roster.Hosts()
-	first := rendezvous.Owner("model/"+model, roster.IDs(hosts))
-	for _, h := range hosts {
-		if h.ID == first && (h.Peer != "" && s.Link != nil || h.ID == s.Runner.Self.Host) {
-			return h
-		}
-	}
-	return s.Roster.Self
-}
-
 // handTo hands a batch to its owner, and takes it back if the owner doesn't
 // answer. The caller has its confirmation at once.
 func (s *Service) handTo(ctx context.Context, owner roster.Host, head batch.Head, b batch.Batch) {
@@ -301,9 +288,14 @@
 // successor reports whether this host takes the batch if its owner is gone. All
 // hosts that see the same list choose the same one.
 func (s *Service) successor(head batch.Head) bool {
-	ids := roster.IDs(s.Roster.Hosts())
-	ids = slices.DeleteFunc(ids, func(id string) bool { return id == head.Owner.Host && len(ids) > 1 && !s.returned(head.Owner) })
-	return rendezvous.Owner(head.ID, ids) == s.Runner.Self.Host
+	hosts := s.Roster.Hosts()
+	without := slices.DeleteFunc(slices.Clone(hosts), func(h roster.Host) bool {
+		return h.ID == head.Owner.Host && !s.returned(head.Owner)
+	})
+	if len(without) > 0 {
+		hosts = without
+	}
+	return rendezvous.Owner(head.ID, roster.IDs(roster.Strong(hosts))) == s.Runner.Self.Host
 }
 
 // returned reports whether the owner's host runs another incarnation by now.
