Judge scores in the soak: own call, after the text, of a success

Half of the soak's batches ask for rewards. Planted: no score, the score of another call, one before the end of the text, one of a failed run, a reward of a refused batch, one after an end.

--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -57,6 +57,7 @@
 	EndsKept        = "ends-kept"
 	RunsToTheEnd    = "batches-run-to-the-end"
 	BodiesKept      = "bodies-kept"
+	ScoresTrue      = "scores-true"
 )
 
 // judge returns one finding for each promise.
@@ -64,7 +65,7 @@
 	return []ledger.Finding{
 		r.answersWhole(), r.notRunIsTrue(), r.atMostOnce(), r.onlyAsked(), r.stopsCutNothing(l), r.configInForce(l), r.oneGiver(l),
 		r.batchesKept(l), r.refusedDontRun(), r.positionsFixed(), r.textsWhole(), r.versionsTrue(), r.endsKept(l),
-		r.runsToTheEnd(), r.bodiesKept(),
+		r.runsToTheEnd(), r.bodiesKept(), r.scoresTrue(),
 	}
 }
 
@@ -136,6 +137,9 @@
 	for _, s := range r.submissions {
 		for _, i := range s.batch.Items {
 			sent[i.ID] = strings.Join([]string{http.MethodPost, s.batch.Prefix + "x", i.Body}, " ")
+			if i.Reward != nil {
+				sent[i.Reward.ID] = strings.Join([]string{http.MethodPost, i.Reward.Target, i.Reward.Body}, " ")
+			}
 		}
 	}
 	for _, run := range r.runs {
@@ -261,7 +265,9 @@
 			continue
 		}
 		for _, i := range s.batch.Items {
-			f.Checkf(len(runs[i.ID]) == 0, "item %s ran, its batch %s was refused", i.ID, s.batch.ID)
+			for _, id := range idsOf(i) {
+				f.Checkf(len(runs[id]) == 0, "%s ran, its batch %s was refused", id, s.batch.ID)
+			}
 		}
 	}
 	return f
@@ -287,7 +293,7 @@
 		key := place{g.batch, position}
 		if first, ok := results[key]; ok {
 			same := first.Item == result.Item && first.Completed == result.Completed && first.Text == result.Text &&
-				slices.Equal(first.Versions, result.Versions)
+				first.Score == result.Score && slices.Equal(first.Versions, result.Versions)
 			f.Checkf(same, "batch %s, position %d held %s and then %s", g.batch, position, first.Item, result.Item)
 		}
 		results[key] = result
@@ -315,10 +321,8 @@
 			return
 		}
 		failed := 0
-		for _, run := range runs[result.Item] {
-			if run.Failed {
-				failed++
-			}
+		for _, id := range idsOf(itemOf(s, result.Item)) {
+			failed = max(failed, failures(runs[id]))
 		}
 		f.Checkf(!s.ending.IsZero() || failed >= platformtest.MaxAttempts || g.sent.Sub(s.accepted) > platformtest.ItemLimit,
 			"item %s was given up after %d failures", result.Item, failed)
@@ -326,13 +330,59 @@
 	return f
 }
 
-func bodyOf(s *submission, item string) string {
+// failures counts the runs that the server said had failed.
+func failures(runs []platformtest.Run) int {
+	failed := 0
+	for _, run := range runs {
+		if run.Failed {
+			failed++
+		}
+	}
+	return failed
+}
+
+func itemOf(s *submission, id string) platformtest.Item {
 	for _, i := range s.batch.Items {
-		if i.ID == item {
-			return i.Body
+		if i.ID == id {
+			return i
 		}
 	}
-	return ""
+	return platformtest.Item{}
+}
+
+func bodyOf(s *submission, item string) string { return itemOf(s, item).Body }
+
+// idsOf returns the ids of the requests that an item may cause.
+func idsOf(i platformtest.Item) []string {
+	if i.Reward == nil {
+		return []string{i.ID}
+	}
+	return []string{i.ID, i.Reward.ID}
+}
+
+// scoresTrue judges the scores by the runs of the items' own rewards: a success that
+// began after a whole text was made.
+func (r *records) scoresTrue() ledger.Finding {
+	f := ledger.Finding{Invariant: ScoresTrue}
+	items, runs := r.items(), r.runsByID()
+	r.listed(func(g reading, _ int, result platformtest.Result) {
+		s := items[result.Item]
+		if s == nil || s.batch.ID != g.batch || !result.Completed {
+			return
+		}
+		item := itemOf(s, result.Item)
+		if item.Reward == nil {
+			f.Checkf(result.Score == "", "item %s has the score %q and no reward", result.Item, result.Score)
+			return
+		}
+		after := slices.ContainsFunc(runs[item.Reward.ID], func(run platformtest.Run) bool {
+			return run.Stamp == result.Score && !run.Failed && slices.ContainsFunc(runs[item.ID], func(text platformtest.Run) bool {
+				return !text.Whole.IsZero() && !text.Whole.After(run.Started)
+			})
+		})
+		f.Checkf(after, "item %s has the score %q, which no reward call after its text gave", result.Item, result.Score)
+	})
+	return f
 }
 
 // versionsTrue judges the versions that results name by those that servers used.
@@ -369,9 +419,11 @@
 		}
 		late := ""
 		for _, i := range s.batch.Items {
-			for _, run := range runs[i.ID] {
-				if run.Started.After(s.ended.Add(l.cancel)) && r.calm(everyone, run.Started.Add(-l.contact), run.Started) {
-					late = fmt.Sprintf("item %s began %s after the end of batch %s", i.ID, run.Started.Sub(s.ended), s.batch.ID)
+			for _, id := range idsOf(i) {
+				for _, run := range runs[id] {
+					if run.Started.After(s.ended.Add(l.cancel)) && r.calm(everyone, run.Started.Add(-l.contact), run.Started) {
+						late = fmt.Sprintf("%s began %s after the end of batch %s", id, run.Started.Sub(s.ended), s.batch.ID)
+					}
 				}
 			}
 		}
--- a/internal/lab/soak/judge_test.go
+++ b/internal/lab/soak/judge_test.go
@@ -15,14 +15,19 @@
 // held. Times are seconds after zero.
 func soundRecords(zero time.Time) *records {
 	at := func(seconds float64) time.Time { return zero.Add(time.Duration(seconds * float64(time.Second))) }
-	item := func(id string) platformtest.Item { return platformtest.Item{Body: "2", Group: "g", ID: id} }
+	item := func(id string) platformtest.Item {
+		return platformtest.Item{Body: "2", Group: "g", ID: id, Reward: &platformtest.Reward{Body: "b", ID: "r" + id, Target: "/f/r"}}
+	}
 	ran := func(id, method, target, body string, started float64) platformtest.Run {
 		return platformtest.Run{
-			Body: body, ID: id, Method: method, Server: "s", Started: at(started), Target: target, Versions: map[int64]bool{3: true},
+			Body: body, ID: id, Method: method, Server: "s", Stamp: "s." + id, Started: at(started), Target: target,
+			Versions: map[int64]bool{3: true}, Whole: at(started + 0.5),
 		}
 	}
 	answered := platformtest.Answer{Body: []byte(platformtest.PlainAnswer("q1", "POST", "/n/q1", "b")), Stamp: "s", Status: http.StatusOK}
-	result := platformtest.Result{Completed: true, Item: "i1", Text: platformtest.ItemText("i1", "2"), Versions: []int64{3}}
+	result := platformtest.Result{
+		Completed: true, Item: "i1", Score: "s.ri1", Text: platformtest.ItemText("i1", "2"), Versions: []int64{3},
+	}
 	page := platformtest.Page{Next: 1, Results: []platformtest.Result{result}, Total: 1}
 	open := platformtest.Batch{ID: "open", Items: []platformtest.Item{item("i1")}, MinVersion: 2, Prefix: "/b/"}
 	ended := platformtest.Batch{ID: "ended", Items: []platformtest.Item{item("i2")}, Prefix: "/b/"}
@@ -42,7 +47,10 @@
 			{answer: answered, body: "b", ended: at(10.1), host: 0, id: "q1", method: "POST", repeat: platformtest.RepeatNever, sent: at(10), target: "/n/q1"},
 			{answer: platformtest.Answer{Status: http.StatusServiceUnavailable}, ended: at(10.1), host: 1, id: "q2", method: "POST", sent: at(10), target: "/n/q2"},
 		},
-		runs:  []platformtest.Run{ran("q1", "POST", "/n/q1", "b", 10), ran("i1", "POST", "/b/x", "2", 9), ran("i2", "POST", "/b/x", "2", 9)},
+		runs: []platformtest.Run{
+			ran("q1", "POST", "/n/q1", "b", 10), ran("i1", "POST", "/b/x", "2", 9), ran("i2", "POST", "/b/x", "2", 9),
+			ran("ri1", "POST", "/f/r", "b", 9.5),
+		},
 		stops: []stop{{at: at(10.05), ended: at(12), host: 0}},
 		submissions: map[string]*submission{
 			"open":    {accepted: at(8), batch: open},
@@ -86,11 +94,13 @@
 			r.runs = append(r.runs, platformtest.Run{Body: "2", ID: "i3", Method: "POST", Target: "/b/x"})
 		}},
 		"another versions list": {PositionsFixed, func(r *records) {
-			r.readings[1].page.Results = []platformtest.Result{{Completed: true, Item: "i1", Text: platformtest.ItemText("i1", "2"), Versions: []int64{3, 3}}}
+			r.readings[1].page.Results = []platformtest.Result{
+				{Completed: true, Item: "i1", Score: "s.ri1", Text: platformtest.ItemText("i1", "2"), Versions: []int64{3, 3}},
+			}
 		}},
 		"another position": {PositionsFixed, func(r *records) { r.readings[1].page.After = 1 }},
 		"an event is missing": {TextsWhole, func(r *records) {
-			bothResults(r, platformtest.Result{Completed: true, Item: "i1", Text: "i1.1", Versions: []int64{3}})
+			bothResults(r, platformtest.Result{Completed: true, Item: "i1", Score: "s.ri1", Text: "i1.1", Versions: []int64{3}})
 		}},
 		"given up without reason": {TextsWhole, func(r *records) { bothResults(r, platformtest.Result{Item: "i1"}) }},
 		"an item of another batch": {TextsWhole, func(r *records) {
@@ -101,7 +111,21 @@
 		"an item after the end":       {EndsKept, func(r *records) { r.runs[2].Started = at(16) }},
 		"an unended batch stays open": {RunsToTheEnd, func(r *records) { r.readings[1].final = false }},
 		"a body of other bytes":       {BodiesKept, func(r *records) { r.bodies[0].body = "3" }},
-		"a body that is gone":         {BodiesKept, func(r *records) { r.bodies[0].status = http.StatusNotFound }},
+		"completed without a score": {ScoresTrue, func(r *records) {
+			bothResults(r, platformtest.Result{Completed: true, Item: "i1", Text: platformtest.ItemText("i1", "2"), Versions: []int64{3}})
+		}},
+		"the score of another call": {ScoresTrue, func(r *records) {
+			bothResults(r, platformtest.Result{Completed: true, Item: "i1", Score: "s.q1", Text: platformtest.ItemText("i1", "2"), Versions: []int64{3}})
+		}},
+		"a score before the end of the text": {ScoresTrue, func(r *records) { r.runs[3].Started = at(9.4) }},
+		"a score of a failed run":            {ScoresTrue, func(r *records) { r.runs[3].Failed = true }},
+		"a reward of a refused batch": {RefusedDontRun, func(r *records) {
+			r.runs = append(r.runs, platformtest.Run{Body: "b", ID: "ri3", Method: "POST", Target: "/f/r"})
+		}},
+		"a reward after the end": {EndsKept, func(r *records) {
+			r.runs = append(r.runs, platformtest.Run{Body: "b", ID: "ri2", Method: "POST", Started: at(16), Target: "/f/r"})
+		}},
+		"a body that is gone": {BodiesKept, func(r *records) { r.bodies[0].status = http.StatusNotFound }},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/lab/soak/workload.go
+++ b/internal/lab/soak/workload.go
@@ -188,12 +188,18 @@
 	b := platformtest.Batch{
 		Groups: groupsWanted, ID: r.newID("batch"), MinVersion: max(1, r.work.version.Load()-1), Model: model, Prefix: batchPrefix,
 	}
+	scored := rand.IntN(2) == 0
 	for group := range groupsPerBatch {
 		for range itemsPerGroup {
-			b.Items = append(b.Items, platformtest.Item{
+			item := platformtest.Item{
 				Body:  strconv.Itoa(fewestEvents + rand.IntN(mostEvents-fewestEvents)),
 				Group: fmt.Sprintf("%s.%d", b.ID, group), ID: r.newID("item"),
-			})
+			}
+			if scored {
+				id := r.newID("reward")
+				item.Reward = &platformtest.Reward{Body: "body of " + id, ID: id, Target: freePrefix + id + "?score=%2F"}
+			}
+			b.Items = append(b.Items, item)
 		}
 	}
 	return b
