Claim batches of an earlier incarnation, list once at a start, derive waits from bounds

Changes: Adopt claims the head for the running incarnation before anything runs. First lists wait for the list of hosts, a second at most. The pause between news of servers follows from the drain bound, the wait of the operators' watch from the bound of configurations; leaving hosts serve twice the time for which callers keep addresses.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -35,26 +35,15 @@
 )
 
 const (
-	// operatorsWait bounds how long a dropped history of the store stays
-	// unnoticed. A configuration is in force everywhere two seconds after it was
-	// accepted.
-	operatorsWait = 1500 * time.Millisecond
 	// sharedWait bounds the waits of the other watches, so that hosts that follow
 	// this one know that it still hears of the store.
 	sharedWait = 2 * time.Second
-	// gatherChanges is the pause after news of servers and hosts. Leaving
-	// servers take requests for two more seconds.
-	gatherChanges = 300 * time.Millisecond
 	// settleTime is how long a host that starts waits before it follows others or
 	// the store: the platform starts all machines within 0.3 s, and each is listed
 	// after two calls.
 	settleTime = 500 * time.Millisecond
 	// notReadyWait is when a caller comes again whose host knows no configuration.
 	notReadyWait = 300 * time.Millisecond
-	// leaveWait is how long a leaving host still takes requests. Callers have
-	// asked for addresses again by then, but for the few that keep an answer
-	// three times as long.
-	leaveWait = 3 * time.Second
 	// stopMargin is left of the grace when requests in flight are cut.
 	stopMargin = 700 * time.Millisecond
 	// handoverTime is left of it when batches that still run are handed over: two
@@ -246,14 +235,17 @@
 // mirrors returns the mirrors of operators, backend servers and the fleet.
 func (h *Host) mirrors() []*mirror.Mirror {
 	prefixes := h.Documents.Prefixes()
-	h.live = &mirror.Mirror{Gather: gatherChanges, Prefix: mirror.LivePrefix, Wait: sharedWait, OnChange: func(c mirror.Change) {
+	h.live = &mirror.Mirror{Gather: h.Settings.gatherChanges(), Prefix: mirror.LivePrefix, Wait: sharedWait, OnChange: func(c mirror.Change) {
 		h.roster.Apply(c)
 		h.giver.Observe(roster.IDs(h.roster.Listed()))
 		h.Batches.Index.Apply(c)
 	}}
 	mirrors := []*mirror.Mirror{
-		{OnChange: h.applyOperators, Prefix: prefixes.Operators, Wait: operatorsWait},
-		{Gather: gatherChanges, OnChange: h.servers.apply, Prefix: prefixes.Servers, Wait: sharedWait},
+		{After: h.live, OnChange: h.applyOperators, Prefix: prefixes.Operators, Wait: h.Settings.operatorsWait()},
+		{
+			After: h.live, Gather: h.Settings.gatherChanges(), OnChange: h.servers.apply, Prefix: prefixes.Servers,
+			Wait: sharedWait,
+		},
 		h.live,
 	}
 	compaction := new(mirror.Compaction)
@@ -364,7 +356,7 @@
 		h.finishBatches(ctx)
 		return nil
 	})
-	wait.For(ctx, leaveWait-time.Since(began))
+	wait.For(ctx, h.Settings.leaveWait()-time.Since(began))
 	listeners.shutdown(shutdownCtx)
 	_ = group.Wait() // It returns no error.
 	if err := h.roster.Withdraw(shutdownCtx); err != nil {
--- a/internal/entry/host/settings.go
+++ b/internal/entry/host/settings.go
@@ -18,14 +18,34 @@
 	// defaultAddressTTL is how long callers keep an answer with addresses. Some
 	// keep it three times as long, which still ends within the grace.
 	defaultAddressTTL = 1500 * time.Millisecond
+	// leaveTTLs is how many times the time that callers keep addresses a leaving host
+	// still takes requests. Callers have asked again by then, but for the few that
+	// keep an answer three times as long.
+	leaveTTLs = 2
+	// defaultConfigBound and defaultDrainBound hold if the deployment names none.
+	defaultConfigBound = 2 * time.Second
+	defaultDrainBound  = 2 * time.Second
+	// operatorsShare is the share of the configuration's bound for which a dropped
+	// history of the store may stay unnoticed.
+	operatorsShare = 0.75
+	// gatherShare is the share of the bound on leaving servers that passes between
+	// news of servers and hosts. Two such pauses follow each other where a host
+	// follows a reader.
+	gatherShare = 0.15
 )
 
 // Settings are the checked settings of one process.
 type Settings struct {
 	// CallerAddress is where callers connect; empty for a host that serves none.
 	CallerAddress string
+	// ConfigBound is within what time an accepted configuration is in force
+	// everywhere; zero means two seconds.
+	ConfigBound time.Duration
 	// DirectoryAddress is where callers ask for addresses; empty if they don't.
 	DirectoryAddress string
+	// DrainBound is within what time a leaving server gets no new work; zero means
+	// two seconds.
+	DrainBound time.Duration
 	// Grace is the time that a process has to end after it was told to.
 	Grace time.Duration
 	ID    string
@@ -54,7 +74,7 @@
 	if s.ID == "" {
 		mistakes = append(mistakes, classError.New("the id of the host is missing"))
 	}
-	if s.Grace < 0 || s.MaxAddressTTL < 0 || s.OrderSpacing < 0 || s.ResultRetention < 0 {
+	if s.ConfigBound < 0 || s.DrainBound < 0 || s.Grace < 0 || s.MaxAddressTTL < 0 || s.OrderSpacing < 0 || s.ResultRetention < 0 {
 		mistakes = append(mistakes, classError.New("a duration is negative"))
 	}
 	if s.Processor < 0 {
@@ -83,7 +103,9 @@
 		differs bool
 	}{
 		{"caller-address", s.CallerAddress != other.CallerAddress},
+		{"config-bound", s.ConfigBound != other.ConfigBound},
 		{"directory-address", s.DirectoryAddress != other.DirectoryAddress},
+		{"drain-bound", s.DrainBound != other.DrainBound},
 		{"grace", s.Grace != other.Grace},
 		{"id", s.ID != other.ID},
 		{"max-address-ttl", s.MaxAddressTTL != other.MaxAddressTTL},
@@ -121,3 +143,24 @@
 	}
 	return DefaultGrace
 }
+
+// leaveWait is how long a leaving host still takes requests.
+func (s Settings) leaveWait() time.Duration { return leaveTTLs * s.addressTTL() }
+
+// operatorsWait bounds how long one watch of the operators' keys waits at the store.
+func (s Settings) operatorsWait() time.Duration {
+	return share(operatorsShare, s.ConfigBound, defaultConfigBound)
+}
+
+// gatherChanges is the pause after news of servers and hosts.
+func (s Settings) gatherChanges() time.Duration {
+	return share(gatherShare, s.DrainBound, defaultDrainBound)
+}
+
+// share returns a share of bound, or of fallback if there is none.
+func share(part float64, bound, fallback time.Duration) time.Duration {
+	if bound <= 0 {
+		bound = fallback
+	}
+	return time.Duration(part * float64(bound))
+}
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -26,6 +26,9 @@
 	// outage and still notices its end within half a second.
 	retryFirst = 50 * time.Millisecond
 	retryMax   = 500 * time.Millisecond
+	// hostsTimeout bounds the wait for the list of hosts. A host that doesn't know
+	// them by then asks the store for everything.
+	hostsTimeout = time.Second
 	// recentEvents is the number of events that are kept for hosts that follow.
 	recentEvents = 2000
 )
@@ -93,6 +96,9 @@
 
 // Mirror follows one prefix. The fields are set before Run.
 type Mirror struct {
+	// After is a mirror that tells which hosts can be followed. A first list that
+	// isn't taken from Old waits until it has its own; nil waits for none.
+	After *Mirror
 	// Compaction is shared by the mirrors of a process; nil stands alone.
 	Compaction *Compaction
 	// Gather is the pause after a change, so that changes of the same moment
@@ -118,6 +124,8 @@
 	mu sync.Mutex
 	// changed is closed and replaced with each change.
 	changed chan struct{}
+	// listed is closed once the copy holds a first list.
+	listed chan struct{}
 	// confirmed is when the store itself last answered.
 	confirmed time.Time
 	known     map[string]kv.Entry
@@ -177,6 +185,7 @@
 	}
 	if revision == 0 {
 		wait.For(ctx, m.Settle)
+		m.awaitHosts(ctx)
 		return nil
 	}
 	m.apply(m.difference(entries), revision, 0)
@@ -188,6 +197,35 @@
 	return watcher
 }
 
+// awaitHosts waits until it is known which hosts can be followed, for a time.
+func (m *Mirror) awaitHosts(ctx context.Context) {
+	if m.After == nil {
+		return
+	}
+	timer := time.NewTimer(hostsTimeout)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-m.After.firstList():
+	}
+}
+
+// firstList returns a channel that is closed once the copy holds a first list.
+func (m *Mirror) firstList() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listedChannel()
+}
+
+// listedChannel returns the channel of the first list. m.mu is held.
+func (m *Mirror) listedChannel() chan struct{} {
+	if m.listed == nil {
+		m.listed = make(chan struct{})
+	}
+	return m.listed
+}
+
 // step lists when there is no watcher, and otherwise waits for one batch. With
 // alone set no other host is asked.
 func (m *Mirror) step(ctx context.Context, watcher kv.Watcher, lostSince time.Time, alone bool) (kv.Watcher, error) {
@@ -391,6 +429,7 @@
 	if m.known == nil {
 		m.known = make(map[string]kv.Entry)
 		m.recentFrom = revision
+		close(m.listedChannel())
 	}
 	for _, event := range events {
 		if event.Delete {
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -323,3 +323,61 @@
 		is.Equal(time.Since(began), 500*time.Millisecond)
 	})
 }
+
+// neighbour is another host that can be followed once hosts are known.
+type neighbour struct{ known func() bool }
+
+func (n neighbour) Follow(ctx context.Context, _ string, revision int64) (mirror.News, bool, error) {
+	if !n.known() {
+		return mirror.News{}, false, nil
+	}
+	if revision > 0 {
+		<-ctx.Done() // There is no more news.
+	}
+	return mirror.News{Reset: revision == 0, Revision: revision + 1}, true, nil
+}
+
+// TestFirstListWaitsForTheHosts starts a host with a whole fleet: once it knows the
+// other hosts it follows them and never lists the servers itself.
+func TestFirstListWaitsForTheHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &kvmemory.Store{}
+		var mu sync.Mutex
+		lists := map[string]int{}
+		counted := countedLists{Store: store, count: func(prefix string) {
+			mu.Lock()
+			defer mu.Unlock()
+			lists[prefix]++
+		}}
+		var hosts recorder
+		live := &mirror.Mirror{Logger: slog.New(slog.DiscardHandler), OnChange: hosts.onChange, Prefix: "hosts/", Store: counted}
+		servers := &mirror.Mirror{
+			After: live, Logger: slog.New(slog.DiscardHandler), Old: nothingOld{}, Prefix: "servers/", Settle: 100 * time.Millisecond,
+			Source: neighbour{known: func() bool { return hosts.get("hosts/a") != "" }}, Store: counted,
+		}
+		put(t, store, "hosts/a", "a")
+		stopServers := start(t, servers)
+		time.Sleep(500 * time.Millisecond) // the list of hosts is late
+		stopLive := start(t, live)
+		time.Sleep(time.Second)
+		stopLive()
+		stopServers()
+		is.Equal(lists, map[string]int{"hosts/": 1})
+	})
+}
+
+type countedLists struct {
+	*kvmemory.Store
+
+	count func(prefix string)
+}
+
+func (c countedLists) List(ctx context.Context, prefix string) ([]kv.Entry, int64, error) {
+	c.count(prefix)
+	return c.Store.List(ctx, prefix)
+}
+
+type nothingOld struct{}
+
+func (nothingOld) ListOld(context.Context, string) ([]kv.Entry, int64, error) { return nil, 0, nil }
--- a/internal/rollout/batchrun/list.go
+++ b/internal/rollout/batchrun/list.go
@@ -10,7 +10,6 @@
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
-	"github.com/nutmegway/nutmegway/internal/rollout/placing"
 )
 
 // urgency is how soon pending results are worth a write.
@@ -161,6 +160,10 @@
 	return more
 }
 
+// keptEvents is from how many events on the text of a run is kept: those of half a
+// second and more.
+const keptEvents = 20
+
 // saveInterval is how often the texts of long runs are kept for the host that
 // goes on if this one is killed. A long item takes seven seconds to make again.
 const saveInterval = 1500 * time.Millisecond
@@ -175,7 +178,7 @@
 			return
 		case <-ticker.C:
 		}
-		partials := x.partials(placing.LongEvents)
+		partials := x.partials(keptEvents)
 		if len(partials) == 0 {
 			continue
 		}
--- a/internal/rollout/batchrun/service.go
+++ b/internal/rollout/batchrun/service.go
@@ -112,9 +112,21 @@
 }
 
 // Adopt runs a batch that another host accepted and stored with this host as
-// its owner. It returns false if this host is leaving.
+// its owner. It returns false if this host is leaving. The other host may know an
+// earlier incarnation of this one, as when a whole fleet has just come back; then this
+// host claims the batch first.
 func (s *Service) Adopt(ctx context.Context, head batch.Head, b batch.Batch) bool {
 	s.Index.Put(head)
+	if head.Owner != s.Runner.Self && head.Owner.Host == s.Runner.Self.Host {
+		claimed, err := s.Batches.Claim(context.WithoutCancel(ctx), head, s.Runner.Self)
+		if err != nil {
+			s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch of an earlier incarnation not claimed",
+				slog.String("batch", head.ID), slog.String("incarnation", head.Owner.Incarnation), slog.Any("error", err))
+			return false
+		}
+		s.Index.Put(claimed)
+		head = claimed
+	}
 	s.adopt(ctx, head, b, nil, nil)
 	return s.Runner.Has(head.ID)
 }
