End streams of engines that bring more than a sound one can

An event has at most 256 KB with all its lines, 64 KB may come between two events, and a text has at most as many events as the item has tokens and 64 bytes for each of them. Such a run ends as broken and counts against the engine. The HTTP library bounds heads, interim answers, chunk extensions and trailers; the test plays those too.

--- a/internal/backend/generation/generation.go
+++ b/internal/backend/generation/generation.go
@@ -26,8 +26,23 @@
 // errStalled is the cause of a stream that was ended because no event came.
 var errStalled = classError.New("no event came in time")
 
-// maxLineBytes bounds one line of an event stream.
-const maxLineBytes = 1 << 20
+const (
+	// maxEventBytes bounds the lines of one event together. An event holds some
+	// tokens.
+	maxEventBytes = 256 << 10
+	// maxIdleBytes bounds what comes between two events: comments and empty lines.
+	maxIdleBytes = 64 << 10
+	// tokenBytes is the longest text that a token may have on average, and textSlack
+	// what a short text may have beyond.
+	tokenBytes = 64
+	textSlack  = 64 << 10
+	// defaultTextBytes and defaultEvents bound a text whose tokens aren't known.
+	defaultTextBytes = 16 << 20
+	defaultEvents    = 100_000
+)
+
+// ErrEndless is the failure of a stream that is longer than any sound one.
+var ErrEndless = classError.New("the stream is longer than a sound one")
 
 // Request is one run of an item.
 type Request struct {
@@ -42,6 +57,9 @@
 	Header    map[string]string
 	Host      string
 	ID        string
+	// MaxTokens is the number of tokens that the whole item may have, those of
+	// earlier runs included; zero if unknown.
+	MaxTokens int
 	// ResumeAfter is the id of the last event that an earlier run has given;
 	// empty begins at the start.
 	ResumeAfter string
@@ -110,7 +128,8 @@
 		versionField: strings.ToLower(c.Dialect.WeightVersion),
 		scanner:      bufio.NewScanner(response.Body), version: version,
 	}
-	reader.scanner.Buffer(nil, maxLineBytes)
+	reader.scanner.Buffer(nil, maxEventBytes)
+	left := limitOf(r.MaxTokens)
 	for {
 		event, err := reader.next()
 		if errors.Is(err, io.EOF) {
@@ -119,6 +138,9 @@
 		if err != nil {
 			return c.broken(ctx, err)
 		}
+		if !left.take(event) {
+			return OutcomeBroken, ErrEndless
+		}
 		stall.Reset(r.EventWait)
 		if err := onEvent(event); err != nil {
 			return OutcomeBroken, err
@@ -126,6 +148,24 @@
 	}
 }
 
+// limit is what a stream may still bring.
+type limit struct{ bytes, events int }
+
+// limitOf returns the limit of a text. Each event holds at least one token.
+func limitOf(maxTokens int) limit {
+	if maxTokens <= 0 {
+		return limit{bytes: defaultTextBytes, events: defaultEvents}
+	}
+	return limit{bytes: maxTokens*tokenBytes + textSlack, events: maxTokens}
+}
+
+// take counts an event and reports whether it is within the limit.
+func (l *limit) take(event Event) bool {
+	l.bytes -= len(event.Data)
+	l.events--
+	return l.bytes >= 0 && l.events >= 0
+}
+
 func (c *Client) request(r Request) plain.Request {
 	header := make(http.Header, len(r.Header)+3)
 	for name, value := range r.Header {
@@ -189,8 +229,23 @@
 	event := Event{}
 	var data []string
 	begun := false
+	idle, size := 0, 0
 	for r.scanner.Scan() {
 		line := r.scanner.Text()
+		// The line's end counts too: empty lines may come without end.
+		size += len(line) + 1
+		if size > maxEventBytes {
+			return Event{}, ErrEndless
+		}
+		if line == "" || strings.HasPrefix(line, ":") {
+			idle += len(line) + 1
+			if idle > maxIdleBytes {
+				return Event{}, ErrEndless
+			}
+		}
+		if strings.HasPrefix(line, ":") {
+			continue
+		}
 		if line == "" {
 			if !begun {
 				continue
--- a/internal/backend/generation/generation_test.go
+++ b/internal/backend/generation/generation_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -168,3 +169,62 @@
 	outcome, _ = client.Run(ctx, generation.Request{Address: "127.0.0.1:1", FirstWait: time.Minute}, func(string) {}, nil)
 	is.Equal(outcome, generation.OutcomeStopped)
 }
+
+// TestAnswersWithoutEnd has engines that send bytes until their caller closes. Each run
+// ends by its own limit, long before its time is up, and holds little memory.
+func TestAnswersWithoutEnd(t *testing.T) {
+	long := strings.Repeat("x", 1000)
+	cases := map[string]struct {
+		first, again string
+		// raw is set if the bytes begin before the status line.
+		raw bool
+	}{
+		"data lines of one event":  {"id: 1\n", "data: " + long + "\n", false},
+		"one line":                 {"data: ", long, false},
+		"sound events":             {"", "id: 1\ndata: x\n\n", false},
+		"long sound events":        {"", "id: 1\ndata: " + long + "\n\n", false},
+		"comments":                 {"", ": " + long + "\n", false},
+		"empty lines":              {"", "\n", false},
+		"a header":                 {"HTTP/1.1 200 OK\r\nX-Long: ", long, true},
+		"headers":                  {"HTTP/1.1 200 OK\r\n", "X-Long: " + long + "\r\n", true},
+		"a status line":            {"HTTP/1.1 200 ", long, true},
+		"interim answers":          {"", "HTTP/1.1 103 Early Hints\r\nX-Long: " + long + "\r\n\r\n", true},
+		"an extension of a chunk":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", long, true},
+		"trailers":                 {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Long: " + long + "\r\n", true},
+		"bytes that are no answer": {"", long, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var sent atomic.Int64
+			outcome, err := run(t, generation.Request{MaxTokens: 1000}, func(w http.ResponseWriter, r *http.Request) {
+				write := func(text string) error {
+					n, err := io.WriteString(w, text)
+					sent.Add(int64(n))
+					return err
+				}
+				if c.raw {
+					conn, _, err := http.NewResponseController(w).Hijack()
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					defer func() { _ = conn.Close() }()
+					write = func(text string) error {
+						n, err := io.WriteString(conn, text)
+						sent.Add(int64(n))
+						return err
+					}
+				}
+				err := write(c.first)
+				for err == nil && r.Context().Err() == nil {
+					err = write(c.again)
+				}
+			}, func(generation.Event) error { return nil })
+			is.Equal(outcome, generation.OutcomeBroken)
+			is.True(err != nil)
+			// What the sockets and the library hold comes on top of the limits.
+			is.True(sent.Load() < 32<<20)
+		})
+	}
+}
