Catch panics at the edge of their work, and bound what callers send

Causes: there was no recover in the host's path but the HTTP library's: a panic in a run of an item, a call of another host, a watch or the decoding of one entry of the store ended the process, and the same entry would end it again. Listeners had no bound on heads but the library's megabyte, none on the time of a body, and connections of callers could take every descriptor.

base/guard turns a panic into a logged, counted error: for each call of another host, try, item, reward, loop, and entry of the store.

--- a/internal/entry/host/feeds.go
+++ b/internal/entry/host/feeds.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
+	"github.com/nutmegway/nutmegway/internal/base/guard"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
 )
@@ -53,7 +54,11 @@
 			f.vanished(id)
 			continue
 		}
-		server, err := f.Documents.Server(event.Entry.Key, event.Entry.Value)
+		var server inventory.Server
+		err := guard.Call(f.Logger, "entry "+event.Entry.Key, func() (err error) {
+			server, err = f.Documents.Server(event.Entry.Key, event.Entry.Value)
+			return err
+		})
 		if err != nil {
 			f.Logger.Warn("server entry unreadable", slog.String("server", id), slog.Any("error", err))
 			f.Inventory.Remove(id)
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -16,6 +16,7 @@
 	"github.com/nutmegway/nutmegway/internal/backend/generation"
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
 	"github.com/nutmegway/nutmegway/internal/backend/plain"
+	"github.com/nutmegway/nutmegway/internal/base/guard"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/base/rendezvous"
 	"github.com/nutmegway/nutmegway/internal/base/wait"
@@ -184,7 +185,7 @@
 	h.runner.Start(group)
 	mirrors := h.mirrors()
 	if h.Settings.PeerAddress != "" {
-		server := &peer.Server{Address: h.Settings.PeerAddress, Register: func(s *grpc.Server) {
+		server := &peer.Server{Address: h.Settings.PeerAddress, Logger: h.Logger, Register: func(s *grpc.Server) {
 			batchlink.Register(s, h.Batches)
 			follow.Register(s, mirrors)
 			kvrelay.Register(s, h.relayed)
@@ -192,14 +193,17 @@
 		group.Go(func() error { return server.Run(groupCtx) })
 		defer func() { _ = h.peers.Close() }()
 	}
+	supervise := func(ctx context.Context, work string, run func(context.Context) error) {
+		group.Go(func() error { return guard.Supervise(ctx, h.Logger, work, run) })
+	}
 	for _, m := range mirrors {
-		group.Go(func() error { return m.Run(groupCtx) })
+		supervise(groupCtx, "mirror of "+m.Prefix, m.Run)
 	}
-	group.Go(func() error { return h.roster.Run(groupCtx) })
-	group.Go(func() error { return h.runner.Run(groupCtx) })
-	group.Go(func() error { return h.Batches.Run(duties) })
-	group.Go(func() error { return h.giver.Run(duties) })
-	group.Go(func() error { return h.retired.Run(duties) })
+	supervise(groupCtx, "roster", h.roster.Run)
+	supervise(groupCtx, "runner", h.runner.Run)
+	supervise(duties, "batches", h.Batches.Run)
+	supervise(duties, "orders", h.giver.Run)
+	supervise(duties, "retirements", h.retired.Run)
 	group.Go(func() error {
 		select {
 		case <-groupCtx.Done():
@@ -264,21 +268,28 @@
 	return rendezvous.Owner(duty, roster.IDs(h.roster.Listed())) == h.Settings.ID
 }
 
-// applyOperators takes over what operators and trainers wrote.
+// applyOperators takes over what operators and trainers wrote. An entry that can't be
+// handled does not keep the others from being taken over.
 func (h *Host) applyOperators(change mirror.Change) {
 	for _, event := range change.Events {
 		if event.Delete {
 			continue
 		}
-		key, value := event.Entry.Key, event.Entry.Value
-		h.applyConfig(key, value, event.Entry.ModRevision)
-		if model, version, ok, err := h.Documents.Version(key, value); err != nil {
-			h.Logger.Warn("named version unreadable", slog.String("key", key), slog.Any("error", err))
-		} else if ok {
-			h.giver.Named(model, version)
-		}
-		h.retired.note(key)
+		_ = guard.Call(h.Logger, "entry "+event.Entry.Key, func() error { // It logs its error.
+			h.applyOperator(event.Entry)
+			return nil
+		})
+	}
+}
+
+func (h *Host) applyOperator(entry kv.Entry) {
+	h.applyConfig(entry.Key, entry.Value, entry.ModRevision)
+	if model, version, ok, err := h.Documents.Version(entry.Key, entry.Value); err != nil {
+		h.Logger.Warn("named version unreadable", slog.String("key", entry.Key), slog.Any("error", err))
+	} else if ok {
+		h.giver.Named(model, version)
 	}
+	h.retired.note(entry.Key)
 }
 
 // applyConfig puts a configuration in force unless a newer one is.
--- a/internal/entry/host/listeners.go
+++ b/internal/entry/host/listeners.go
@@ -49,6 +49,11 @@
 		if s.server != l.callers {
 			l.others = append(l.others, s.server)
 		}
+		if s.server == l.callers && h.Settings.MaxDescriptors > 0 {
+			listener = &limitedListener{
+				Listener: listener, limit: int64(callerShare * float64(h.Settings.MaxDescriptors)), logger: h.Logger,
+			}
+		}
 		group.Go(func() error {
 			if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				return classError.Wrap(err)
@@ -85,7 +90,7 @@
 
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, IdleTimeout: idleTimeout, ReadHeaderTimeout: readHeaderTimeout,
+		Handler: handler, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout,
 		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
 	}
 }
--- a/internal/entry/host/settings.go
+++ b/internal/entry/host/settings.go
@@ -51,6 +51,9 @@
 	ID    string
 	// MaxAddressTTL bounds the time that callers keep an answer with addresses.
 	MaxAddressTTL time.Duration
+	// MaxDescriptors is the number of descriptors that the process may open; zero
+	// leaves callers' connections unbounded.
+	MaxDescriptors int
 	// MetricsAddress is where metrics are read; empty serves none.
 	MetricsAddress string
 	// OrderSpacing is the least time between orders of two hosts to one engine.
@@ -77,8 +80,8 @@
 	if s.ConfigBound < 0 || s.DrainBound < 0 || s.Grace < 0 || s.MaxAddressTTL < 0 || s.OrderSpacing < 0 || s.ResultRetention < 0 {
 		mistakes = append(mistakes, classError.New("a duration is negative"))
 	}
-	if s.Processor < 0 {
-		mistakes = append(mistakes, classError.New("the processor share is negative"))
+	if s.Processor < 0 || s.MaxDescriptors < 0 {
+		mistakes = append(mistakes, classError.New("a limit of the process is negative"))
 	}
 	addresses := map[string]string{
 		"callers": s.CallerAddress, "directory": s.DirectoryAddress, "metrics": s.MetricsAddress, "peers": s.PeerAddress, "ready": s.ReadyAddress,
@@ -109,6 +112,7 @@
 		{"grace", s.Grace != other.Grace},
 		{"id", s.ID != other.ID},
 		{"max-address-ttl", s.MaxAddressTTL != other.MaxAddressTTL},
+		{"max-descriptors", s.MaxDescriptors != other.MaxDescriptors},
 		{"metrics-address", s.MetricsAddress != other.MetricsAddress},
 		{"order-spacing", s.OrderSpacing != other.OrderSpacing},
 		{"peer-address", s.PeerAddress != other.PeerAddress},
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"time"
 
@@ -10,6 +11,8 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+
+	"github.com/nutmegway/nutmegway/internal/base/guard"
 )
 
 const (
@@ -25,6 +28,8 @@
 // Server answers other hosts. The fields are set before Run.
 type Server struct {
 	Address string
+	// Logger is told of panics; nil tells nobody.
+	Logger *slog.Logger
 	// Register adds the services.
 	Register func(*grpc.Server)
 }
@@ -35,7 +40,8 @@
 	if err != nil {
 		return classError.Wrap(err)
 	}
-	server := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes))
+	server := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
+		grpc.UnaryInterceptor(s.guarded))
 	s.Register(server)
 	var group errgroup.Group
 	group.Go(func() error {
@@ -49,6 +55,22 @@
 	return group.Wait()
 }
 
+// guarded answers a call whose handler panics with an error.
+func (s *Server) guarded(
+	ctx context.Context, request any, info *grpc.UnaryServerInfo, handle grpc.UnaryHandler,
+) (reply any, err error) {
+	logger := s.Logger
+	if logger == nil {
+		logger = slog.New(slog.DiscardHandler)
+	}
+	err = guard.Call(logger, info.FullMethod, func() error {
+		var err error
+		reply, err = handle(ctx, request)
+		return err
+	})
+	return reply, err
+}
+
 // LocalOptions are for hosts that are some milliseconds away: they give a
 // connection up soon, since another way exists.
 func LocalOptions() []grpc.DialOption {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -21,6 +21,7 @@
 	"github.com/nutmegway/nutmegway/internal/backend/dialect"
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
 	"github.com/nutmegway/nutmegway/internal/backend/plain"
+	"github.com/nutmegway/nutmegway/internal/base/guard"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
 )
@@ -240,7 +241,14 @@
 	}
 	x.attempts.started(candidate.ID)
 	x.group.Go(func() error {
-		a := x.try(ctx, candidate, x.request, x.deadline, x.attempts.route.Repeat != config.RepeatFree)
+		var a answer
+		err := guard.Call(x.Logger, "request "+x.request.ID, func() error {
+			a = x.try(ctx, candidate, x.request, x.deadline, x.attempts.route.Repeat != config.RepeatFree)
+			return nil
+		})
+		if err != nil {
+			a = answer{server: candidate.ID, err: err, ran: kind.RanUnknown}
+		}
 		select {
 		case x.answers <- a:
 		case <-ctx.Done():
--- a/internal/rollout/batchrun/list.go
+++ b/internal/rollout/batchrun/list.go
@@ -45,17 +45,18 @@
 )
 
 // listLoop lists pending results until the run ends.
-func (x *run) listLoop() {
-	for x.ctx.Err() == nil {
+func (x *run) listLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
 		select {
-		case <-x.ctx.Done():
-			return
+		case <-ctx.Done():
+			return nil
 		case <-x.ready:
 		}
 		x.gather()
-		for x.listSome(x.ctx) {
+		for x.listSome(ctx) {
 		}
 	}
+	return nil
 }
 
 // gather waits until enough results are there to be worth a write.
@@ -169,21 +170,21 @@
 const saveInterval = 1500 * time.Millisecond
 
 // saveLoop keeps the texts of long runs until the run ends.
-func (x *run) saveLoop() {
+func (x *run) saveLoop(ctx context.Context) error {
 	ticker := time.NewTicker(saveInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-x.ctx.Done():
-			return
+		case <-ctx.Done():
+			return nil
 		case <-ticker.C:
 		}
 		partials := x.partials(keptEvents)
 		if len(partials) == 0 {
 			continue
 		}
-		if err := x.runner.Batches.SavePartials(x.ctx, x.batch.ID, partials); err != nil && x.ctx.Err() == nil {
-			x.runner.Logger.LogAttrs(x.ctx, slog.LevelInfo, "texts of long runs not kept",
+		if err := x.runner.Batches.SavePartials(ctx, x.batch.ID, partials); err != nil && ctx.Err() == nil {
+			x.runner.Logger.LogAttrs(ctx, slog.LevelInfo, "texts of long runs not kept",
 				slog.String("batch", x.batch.ID), slog.Int("items", len(partials)), slog.Any("error", err))
 		}
 	}
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -159,7 +159,7 @@
 		x.streams++
 		x.runner.Inventory.Started(engine.ID)
 		budget := route.ItemLimit - now.Sub(x.head.Submitted())
-		x.runner.group.Go(func() error {
+		x.runner.Go("item "+s.item.ID, func() error {
 			x.runItem(s, engine, route, service, budget)
 			return nil
 		})
@@ -174,6 +174,7 @@
 	s *itemState, engine inventory.Candidate, route config.Route, service string, budget time.Duration,
 ) {
 	r := x.runner
+	defer x.release(s, engine)
 	began := time.Now()
 	before := len(s.events)
 	tracker := paceTracker{}
@@ -186,12 +187,9 @@
 	}, func(event generation.Event) error {
 		return x.onEvent(s, engine.ID, service, &tracker, event)
 	})
-	r.Inventory.Finished(engine.ID)
 	r.metrics.count(outcome, time.Since(began))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	x.streams--
-	s.running = false
 	if x.ctx.Err() == nil {
 		r.Logger.Info("item run ended", slog.String("item", s.item.ID), slog.String("batch", x.batch.ID),
 			slog.String("server", engine.ID), slog.String("outcome", string(outcome)), slog.Any("error", err),
@@ -200,7 +198,16 @@
 			slog.Int("tokens", s.item.Tokens), slog.Duration("pace", tracker.pace), slog.Duration("server-pace", engine.Pace))
 	}
 	x.settle(s, engine, route, outcome, err)
-	r.wakeUp()
+}
+
+// release counts the end of a run of an item, however it ended.
+func (x *run) release(s *itemState, engine inventory.Candidate) {
+	x.runner.mu.Lock()
+	x.streams--
+	s.running = false
+	x.runner.mu.Unlock()
+	x.runner.Inventory.Finished(engine.ID)
+	x.runner.wakeUp()
 }
 
 // onEvent takes over one event. It fails if the event must not be used.
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -15,6 +15,7 @@
 
 	"github.com/nutmegway/nutmegway/internal/backend/generation"
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
+	"github.com/nutmegway/nutmegway/internal/base/guard"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
 	"github.com/nutmegway/nutmegway/internal/request/forward"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
@@ -81,8 +82,25 @@
 	r.wake = make(chan struct{}, 1)
 }
 
-// Go runs a function in the runner's group.
-func (r *Runner) Go(f func() error) { r.group.Go(f) }
+// Go runs a function in the runner's group. A panic ends only the function.
+func (r *Runner) Go(work string, f func() error) {
+	r.group.Go(func() error { return r.guarded(work, f) })
+}
+
+// guarded runs a function whose panic is logged and then ends only the function.
+func (r *Runner) guarded(work string, f func() error) error {
+	failed := false
+	err := guard.Call(r.Logger, work, func() error {
+		failed = true
+		err := f()
+		failed = false
+		return err
+	})
+	if failed {
+		return nil
+	}
+	return err
+}
 
 // Run places items until ctx ends.
 func (r *Runner) Run(ctx context.Context) error {
@@ -127,14 +145,9 @@
 		slog.String("model", b.Model), slog.Int64("step", b.Step), slog.Int64("min-version", b.MinVersion),
 		slog.Int("items", len(b.Items)), slog.Int("target-groups", b.TargetGroups), slog.Int("listed", len(listed)), slog.Int("partial", len(partials)),
 		slog.Int64("revision", head.Revision))
-	r.group.Go(func() error {
-		x.listLoop()
-		return nil
-	})
-	r.group.Go(func() error {
-		x.saveLoop()
-		return nil
-	})
+	for work, loop := range map[string]func(context.Context) error{"list": x.listLoop, "save": x.saveLoop} {
+		r.group.Go(func() error { return guard.Supervise(x.ctx, r.Logger, work+" results of "+head.ID, loop) })
+	}
 	r.wakeUp()
 }
 
--- a/internal/rollout/batchrun/scoring.go
+++ b/internal/rollout/batchrun/scoring.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
+	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
 	"github.com/nutmegway/nutmegway/internal/request/forward"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
@@ -89,7 +91,7 @@
 		x := start.Call.Of.run
 		x.streams++
 		deadline := x.deadline(c, now)
-		r.group.Go(func() error {
+		r.Go("reward of "+start.Call.Of.item.item.ID, func() error {
 			r.tryReward(start, deadline)
 			return nil
 		})
@@ -108,7 +110,7 @@
 // tryReward sends a reward request to one server.
 func (r *Runner) tryReward(start reward.Start[*scoring], deadline time.Time) {
 	call := start.Call.Of
-	x, s, request := call.run, call.item, call.item.item.Reward
+	request := call.item.item.Reward
 	limit := start.Target.Timeout
 	if limit <= 0 {
 		limit = defaultRewardTry
@@ -116,27 +118,37 @@
 	ctx, cancel := context.WithTimeout(call.ctx, limit)
 	defer cancel()
 	began := time.Now()
+	answer := reward.Answer{Err: errPanicked, Ran: kind.RanUnknown}
+	defer func() { r.endReward(start, answer, time.Since(began)) }()
 	outcome := r.Rewards.Try(ctx, start.Server, forward.Request{
 		Body: request.Body, Header: http.Header{}, Host: request.Host, ID: request.ID, Method: http.MethodPost, Target: request.Target,
 	}, deadline, start.Again)
 	if ctx.Err() != nil && call.ctx.Err() == nil {
 		r.Inventory.Failed(start.Server.ID)
 	}
-	answer := reward.Answer{Err: outcome.Err, Ran: outcome.Ran, Status: outcome.Status}
+	answer = reward.Answer{Err: outcome.Err, Ran: outcome.Ran, Status: outcome.Status}
 	if outcome.Err == nil {
 		answer.Stamp = outcome.Header.Get(r.Generation.Dialect.Stamp)
 	}
+}
+
+var errPanicked = errors.New("the try panicked")
+
+// endReward takes the end of a try over.
+func (r *Runner) endReward(start reward.Start[*scoring], answer reward.Answer, took time.Duration) {
+	call := start.Call.Of
+	x, s, request := call.run, call.item, call.item.item.Reward
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x.streams--
 	verdict := r.rewards.Ended(start, answer, time.Now())
 	live := s.reward == start.Call
 	if live || call.ctx.Err() == nil {
-		r.metrics.countReward(verdict, time.Since(began))
+		r.metrics.countReward(verdict, took)
 		r.Logger.Info("reward call ended", slog.String("item", s.item.ID), slog.String("batch", x.batch.ID),
 			slog.String("reward", request.ID), slog.String("server", start.Server.ID), slog.String("verdict", verdict.String()),
 			slog.Int("status", answer.Status), slog.String("ran", string(answer.Ran)), slog.Any("error", answer.Err),
-			slog.Duration("after", time.Since(began)), slog.Duration("since-text", time.Since(start.Call.Complete)))
+			slog.Duration("after", took), slog.Duration("since-text", time.Since(start.Call.Complete)))
 	}
 	if live {
 		switch verdict {
--- a/internal/rollout/batchrun/service.go
+++ b/internal/rollout/batchrun/service.go
@@ -92,7 +92,7 @@
 // handTo hands a batch to its owner, and takes it back if the owner doesn't
 // answer. The caller has its confirmation at once.
 func (s *Service) handTo(ctx context.Context, owner roster.Host, head batch.Head, b batch.Batch) {
-	s.Runner.Go(func() error {
+	s.Runner.Go("handover of batch "+head.ID, func() error {
 		running, err := s.Link.Adopt(ctx, owner.Peer, head, b)
 		if running {
 			return nil
@@ -342,7 +342,7 @@
 	if s.Link == nil || !ok || host.Peer == "" || owner == s.Runner.Self {
 		return
 	}
-	s.Runner.Go(func() error {
+	s.Runner.Go("ping of "+owner.Host, func() error {
 		ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 		defer cancel()
 		err := s.Link.Ping(ctx, host.Peer)
