Take batches over at once when their owner's process has ended

A machine that answers that nobody listens at the owner's address tells both: the process is gone, and its streams with it.

Power losses and cuts still take the four pings. TestBatchesOfAnEndedProcessGoOnAtOnce fails without (the item began anew).

--- a/internal/rollout/batchlink/batchlink.go
+++ b/internal/rollout/batchlink/batchlink.go
@@ -7,10 +7,14 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
+	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
@@ -109,11 +113,27 @@
 	return reply.GetRunning(), err
 }
 
-// Ping asks whether the host at address lives.
+// ErrNobody is the failure of a ping to an address at which no process listens: the
+// process that did has ended, and its connections are closed.
+var ErrNobody = classError.New("no process listens there")
+
+// Ping asks whether the host at address lives. The error is ErrNobody if its machine
+// answers that nobody listens.
 func (c *Client) Ping(ctx context.Context, address string) error {
 	_, err := call(c, address, func(link batchlinkpb.BatchLinkClient) (*batchlinkpb.PingReply, error) {
 		return link.Ping(ctx, &batchlinkpb.PingRequest{})
 	})
+	if status.Code(errs.Unwrap(err)) != codes.Unavailable {
+		return err
+	}
+	// The gRPC library tells the cause in words only.
+	conn, dialErr := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if errors.Is(dialErr, syscall.ECONNREFUSED) {
+		return ErrNobody
+	}
+	if dialErr == nil {
+		_ = conn.Close() // Nothing was sent.
+	}
 	return err
 }
 
--- a/internal/rollout/batchrun/batchrun_test.go
+++ b/internal/rollout/batchrun/batchrun_test.go
@@ -94,6 +94,14 @@
 }
 
 func newHost(t *testing.T, id string, store *kvmemory.Store, engines ...*engineServer) *host {
+	t.Helper()
+	return newHostWith(t, id, store, func(*batchrun.Service) {}, engines...)
+}
+
+// newHostWith starts a host whose service change has changed.
+func newHostWith(
+	t *testing.T, id string, store *kvmemory.Store, change func(*batchrun.Service), engines ...*engineServer,
+) *host {
 	t.Helper()
 	logger := slog.New(slog.DiscardHandler)
 	inv := &inventory.Inventory{}
@@ -124,6 +132,7 @@
 	runner.OnHead = index.Put
 	r := &roster.Roster{Logger: logger, Self: roster.Host{Address: id, ID: id, Incarnation: "1"}, Store: store}
 	service := &batchrun.Service{Batches: batches, Index: index, Logger: logger, Roster: r, Runner: runner}
+	change(service)
 	ctx, cancel := context.WithCancel(context.Background())
 	group, groupCtx := errgroup.WithContext(ctx)
 	runner.Start(group)
--- a/internal/rollout/batchrun/service.go
+++ b/internal/rollout/batchrun/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"slices"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/nutmegway/nutmegway/internal/base/rendezvous"
 	"github.com/nutmegway/nutmegway/internal/fleet/roster"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
+	"github.com/nutmegway/nutmegway/internal/rollout/batchlink"
 )
 
 const (
@@ -37,7 +39,8 @@
 type Link interface {
 	// Adopt hands a stored batch to its owner and reports whether it runs there.
 	Adopt(ctx context.Context, address string, head batch.Head, b batch.Batch) (bool, error)
-	// Ping asks whether the host at address lives.
+	// Ping asks whether the host at address lives. The error is batchlink.ErrNobody
+	// if the process there has certainly ended.
 	Ping(ctx context.Context, address string) error
 	// Read reads results at the owner; false if it doesn't run the batch.
 	Read(ctx context.Context, address, id string, after int, wait time.Duration) (batch.Page, bool, error)
@@ -60,6 +63,8 @@
 	orphaned map[string]time.Time
 
 	mu sync.Mutex
+	// ended are the incarnations whose process has certainly ended.
+	ended map[string]bool
 	// silent counts the unanswered pings of hosts, by incarnation.
 	silent map[string]int
 }
@@ -323,7 +328,7 @@
 	case head.Owner == s.Runner.Self:
 		// Its handover is under way, or the call that stored it had no answer.
 		return ownDelay, true
-	case head.Owner == batch.Owner{} || s.returned(head.Owner) || s.isSilent(head.Owner):
+	case head.Owner == batch.Owner{} || s.returned(head.Owner) || s.hasEnded(head.Owner) || s.isSilent(head.Owner):
 		return 0, true
 	default:
 		return orphanDelay, !s.Roster.Alive(head.Owner.Host, head.Owner.Incarnation)
@@ -336,6 +341,13 @@
 	return s.silent[owner.Incarnation] >= pingFailures
 }
 
+// hasEnded reports whether the owner's process has certainly ended.
+func (s *Service) hasEnded(owner batch.Owner) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended[owner.Incarnation]
+}
+
 // ping asks an owner whether it lives, without waiting for its answer.
 func (s *Service) ping(ctx context.Context, owner batch.Owner) {
 	host, ok := s.Roster.Get(owner.Host)
@@ -349,12 +361,17 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if s.silent == nil {
-			s.silent = make(map[string]int)
+			s.ended, s.silent = make(map[string]bool), make(map[string]int)
 		}
 		if err == nil {
 			delete(s.silent, owner.Incarnation)
 			return nil
 		}
+		if errors.Is(err, batchlink.ErrNobody) && !s.ended[owner.Incarnation] {
+			s.ended[owner.Incarnation] = true
+			s.Logger.LogAttrs(ctx, slog.LevelWarn, "owner of batches has ended", slog.String("owner", owner.Host),
+				slog.String("incarnation", owner.Incarnation))
+		}
 		s.silent[owner.Incarnation]++
 		if s.silent[owner.Incarnation] == pingFailures {
 			s.Logger.LogAttrs(ctx, slog.LevelWarn, "owner of batches is silent", slog.String("owner", owner.Host),
@@ -401,7 +418,7 @@
 		s.Logger.LogAttrs(ctx, slog.LevelWarn, "partial texts not loaded", slog.String("batch", head.ID), slog.Any("error", err))
 	}
 	givenUp := head.Owner == batch.Owner{}
-	if givenUp || s.returned(head.Owner) {
+	if givenUp || s.returned(head.Owner) || s.hasEnded(head.Owner) {
 		return partials
 	}
 	return slices.DeleteFunc(partials, func(p batch.Partial) bool { return !p.Whole })
--- a/internal/rollout/batchrun/service_test.go
+++ b/internal/rollout/batchrun/service_test.go
@@ -1,11 +1,18 @@
 package batchrun_test
 
 import (
+	"encoding/json"
+	"net"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"github.com/nutmegway/nutmegway/internal/external/kv"
+	"github.com/nutmegway/nutmegway/internal/fleet/peer"
+	"github.com/nutmegway/nutmegway/internal/fleet/roster"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
+	"github.com/nutmegway/nutmegway/internal/rollout/batchlink"
+	"github.com/nutmegway/nutmegway/internal/rollout/batchrun"
 	"github.com/nutmegway/nutmegway/internal/standin/kvmemory"
 )
 
@@ -28,3 +35,31 @@
 	checkWhole(t, readAll(t, a.service), 4)
 	is.Equal(len(engine.requests()), 4) // no run was cut and made again
 }
+
+// TestBatchesOfAnEndedProcessGoOnAtOnce kills the owner of a batch while its entry is
+// still listed: its machine says that nobody listens, so the next owner needs neither
+// the lapse of the entry nor silence, and goes on with the text that was kept.
+func TestBatchesOfAnEndedProcessGoOnAtOnce(t *testing.T) {
+	is := is.New(t)
+	store := &kvmemory.Store{}
+	engine := newEngine(t)
+	batches := &batch.Store{KV: store}
+	_, _, err := batches.Accept(t.Context(), sample(1), batch.Owner{Host: "b", Incarnation: "1"})
+	is.NoErr(err)
+	is.NoErr(batches.SavePartials(t.Context(), "x", []batch.Partial{
+		{Events: []string{"x-i0-1", "x-i0-2"}, Item: "x-i0", LastEvent: "2", Versions: []int64{1}},
+	}))
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	peerOfB := listener.Addr().String()
+	is.NoErr(listener.Close())
+	entry, err := json.Marshal(roster.Host{Address: "b", ID: "b", Incarnation: "1", Peer: peerOfB})
+	is.NoErr(err)
+	_, err = store.Commit(t.Context(), kv.Txn{Writes: []kv.Write{{Key: roster.Prefix + "b", Value: entry}}})
+	is.NoErr(err)
+	a := newHostWith(t, "a", store, func(s *batchrun.Service) {
+		s.Link = &batchlink.Client{Pool: &peer.Pool{Options: peer.LocalOptions()}}
+	}, engine)
+	checkWhole(t, readAll(t, a.service), 1)
+	is.Equal(engine.requests(), []string{"x-i0@2"})
+}
