--- a/internal/lab/soak/judge_test.go
+++ b/internal/lab/soak/judge_test.go
@@ -18,9 +18,9 @@
 	item := func(id string) platformtest.Item {
 		return platformtest.Item{Body: "2", Group: "g", ID: id, Reward: &platformtest.Reward{Body: "b", ID: "r" + id, Target: "/f/r"}}
 	}
-	ran := func(id, method, target, body string, started float64) platformtest.Run {
+	ran := func(id, target, body string, started float64) platformtest.Run {
 		return platformtest.Run{
-			Body: body, ID: id, Method: method, Server: "s", Stamp: "s." + id, Started: at(started), Target: target,
+			Body: body, ID: id, Method: http.MethodPost, Server: "s", Stamp: "s." + id, Started: at(started), Target: target,
 			Versions: map[int64]bool{3: true}, Whole: at(started + 0.5),
 		}
 	}
@@ -48,8 +48,8 @@
 			{answer: platformtest.Answer{Status: http.StatusServiceUnavailable}, ended: at(10.1), host: 1, id: "q2", method: "POST", sent: at(10), target: "/n/q2"},
 		},
 		runs: []platformtest.Run{
-			ran("q1", "POST", "/n/q1", "b", 10), ran("i1", "POST", "/b/x", "2", 9), ran("i2", "POST", "/b/x", "2", 9),
-			ran("ri1", "POST", "/f/r", "b", 9.5),
+			ran("q1", "/n/q1", "b", 10), ran("i1", "/b/x", "2", 9), ran("i2", "/b/x", "2", 9),
+			ran("ri1", "/f/r", "b", 9.5),
 		},
 		stops: []stop{{at: at(10.05), ended: at(12), host: 0}},
 		submissions: map[string]*submission{
--- a/internal/rollout/batchlink/batchlink.go
+++ b/internal/rollout/batchlink/batchlink.go
@@ -123,7 +123,7 @@
 	_, err := call(c, address, func(link batchlinkpb.BatchLinkClient) (*batchlinkpb.PingReply, error) {
 		return link.Ping(ctx, &batchlinkpb.PingRequest{})
 	})
-	if status.Code(errs.Unwrap(err)) != codes.Unavailable {
+	if status.Code(err) != codes.Unavailable {
 		return err
 	}
 	// The gRPC library tells the cause in words only.
--- a/internal/rollout/batchrun/scoring_test.go
+++ b/internal/rollout/batchrun/scoring_test.go
@@ -129,11 +129,14 @@
 			w.Header().Set("Content-Length", "100")
 			_, _ = io.WriteString(w, "part")
 		},
-		"reset":                         func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
-		"silent":                        func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
-		"no stamp":                      func(http.ResponseWriter, *http.Request) {},
-		"full":                          func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Not-Run", "1"); w.WriteHeader(503) },
-		"another server at the address": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(421) },
+		"reset":    func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"silent":   func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+		"no stamp": func(http.ResponseWriter, *http.Request) {},
+		"full": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+		"another server at the address": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) },
 		"another's answer": func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("X-Request-Id", "another")
 			w.Header().Set("Stamp", "another's")
@@ -197,7 +200,7 @@
 		for onConn := 0; ; onConn++ {
 			r, err := http.ReadRequest(reader)
 			if err != nil {
-				return nil //nolint:nilerr // The client has closed the connection.
+				return nil // The client has closed the connection.
 			}
 			_, _ = io.Copy(io.Discard, r.Body)
 			id := r.Header.Get("X-Request-Id")
--- a/internal/rollout/reward/reward_test.go
+++ b/internal/rollout/reward/reward_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -46,8 +47,8 @@
 	return func(string) []inventory.Candidate { return slices.Clone(list) }
 }
 
-func add(q *reward.Queue[string], name string, left int) {
-	q.Add(&reward.Call[string]{Complete: epoch, Left: func() int { return left }, Of: name})
+func add(q *reward.Queue[string], name string) {
+	q.Add(&reward.Call[string]{Complete: epoch, Left: func() int { return 1 }, Of: name})
 }
 
 // TestVerdicts is the table of what the answers to one call mean, in turn.
@@ -68,7 +69,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			q := newQueue()
-			add(q, "a", 1)
+			add(q, "a")
 			now := epoch
 			var verdict reward.Verdict
 			for _, answer := range c.answers {
@@ -86,7 +87,7 @@
 func TestASlowServerIsHedged(t *testing.T) {
 	is := is.New(t)
 	q := newQueue()
-	add(q, "a", 1)
+	add(q, "a")
 	first := q.Next(epoch, target, fixed(servers(4)))
 	is.Equal(len(first), 1)
 	is.Equal(len(q.Next(epoch.Add(100*time.Millisecond), target, fixed(servers(4)))), 0) // it may still answer in time
@@ -102,7 +103,7 @@
 func TestASecondCallToAServerIsTold(t *testing.T) {
 	is := is.New(t)
 	q := newQueue()
-	add(q, "a", 1)
+	add(q, "a")
 	first := q.Next(epoch, target, fixed(servers(1)))
 	is.True(!first[0].Again)
 	q.Ended(first[0], broken, epoch)
@@ -113,7 +114,7 @@
 func TestACallWaitsForItsRoute(t *testing.T) {
 	is := is.New(t)
 	q := newQueue()
-	add(q, "a", 1)
+	add(q, "a")
 	none := func(string) (reward.Target, bool) { return reward.Target{}, false }
 	is.Equal(len(q.Next(epoch, none, fixed(servers(4)))), 0)
 	is.Equal(len(q.Next(epoch, target, fixed(servers(4)))), 1)
@@ -125,12 +126,12 @@
 	list[0].Suspect = true
 	for range 4 {
 		q := newQueue()
-		add(q, "a", 1)
+		add(q, "a")
 		is.Equal(q.Next(epoch, target, fixed(list))[0].Server.ID, "s1")
 	}
 	list[1].Suspect = true
 	q := newQueue()
-	add(q, "a", 1)
+	add(q, "a")
 	is.Equal(len(q.Next(epoch, target, fixed(list))), 1)
 }
 
@@ -139,7 +140,7 @@
 	is := is.New(t)
 	q := newQueue()
 	for n := range 200 {
-		add(q, fmt.Sprint(n), 1)
+		add(q, strconv.Itoa(n))
 	}
 	list := servers(3)
 	list[0].Reported, list[1].Reported = 3, 2
@@ -161,7 +162,7 @@
 	for i := range groups * size {
 		group := i % groups
 		left[group]++
-		q.Add(&reward.Call[string]{Complete: epoch, Left: func() int { return rank(group, left[group]) }, Of: fmt.Sprint(group)})
+		q.Add(&reward.Call[string]{Complete: epoch, Left: func() int { return rank(group, left[group]) }, Of: strconv.Itoa(group)})
 	}
 	type running struct {
 		start reward.Start[string]
