--- a/internal/backend/inventory/inventory.go
+++ b/internal/backend/inventory/inventory.go
@@ -38,9 +38,6 @@
 type Candidate struct {
 	Server
 
-	// Elsewhere is the number of requests that other hosts have told to have at the
-	// server.
-	Elsewhere int
 	// InFlight is the number of requests of this host at the server.
 	InFlight int
 	// Pace is the mean time between events of streams at the server; zero when
@@ -75,14 +72,6 @@
 	changed chan struct{}
 	servers map[string]Server
 	states  map[string]*state
-	// told is what other hosts have told, by host.
-	told map[string]telling
-}
-
-// telling is how many requests another host has at each server.
-type telling struct {
-	at     time.Time
-	counts map[string]int
 }
 
 // Set adds or replaces a server.
@@ -145,14 +134,13 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.now()
-	elsewhere := v.elsewhere(now)
 	var candidates []Candidate
 	for _, id := range slices.Sorted(maps.Keys(v.servers)) {
 		s := v.servers[id]
 		if s.Service != service || s.Draining {
 			continue
 		}
-		c := Candidate{Elsewhere: elsewhere[id], Server: s, Reported: -1}
+		c := Candidate{Server: s, Reported: -1}
 		if st := v.states[id]; st != nil {
 			c.InFlight, c.Pace, c.Suspect = st.inFlight, st.pace, now.Before(st.suspectUntil)
 			if now.Sub(st.reportedAt) < reportAge {
@@ -171,45 +159,6 @@
 	return candidates
 }
 
-// elsewhere adds up what other hosts told a short time ago. v.mu is held.
-func (v *Inventory) elsewhere(now time.Time) map[string]int {
-	sum := make(map[string]int)
-	for host, t := range v.told {
-		if now.Sub(t.at) > reportAge {
-			delete(v.told, host)
-			continue
-		}
-		for id, count := range t.counts {
-			sum[id] += count
-		}
-	}
-	return sum
-}
-
-// Told notes how many requests another host has at each server.
-func (v *Inventory) Told(host string, counts map[string]int) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.told == nil {
-		v.told = make(map[string]telling)
-	}
-	v.told[host] = telling{at: v.now(), counts: counts}
-}
-
-// Counts returns how many requests this host has at each server of the services; those
-// without any are left out.
-func (v *Inventory) Counts(services map[string]struct{}) map[string]int {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	counts := make(map[string]int)
-	for id, st := range v.states {
-		if _, ok := services[v.servers[id].Service]; ok && st.inFlight > 0 {
-			counts[id] = st.inFlight
-		}
-	}
-	return counts
-}
-
 // Started counts a request that is sent to a server.
 func (v *Inventory) Started(id string) {
 	v.mu.Lock()
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -202,7 +202,6 @@
 	supervise(groupCtx, "roster", h.roster.Run)
 	supervise(groupCtx, "runner", h.runner.Run)
 	supervise(duties, "batches", h.Batches.Run)
-	supervise(groupCtx, "sharing of loads", h.Batches.Share)
 	supervise(duties, "orders", h.giver.Run)
 	supervise(duties, "retirements", h.retired.Run)
 	group.Go(func() error {
--- a/internal/rollout/batchlink/batchlink.go
+++ b/internal/rollout/batchlink/batchlink.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"math"
 	"net"
 	"syscall"
 	"time"
@@ -40,8 +39,6 @@
 	// Page returns listed results, waiting for one until ctx ends; false if this
 	// host doesn't run the batch.
 	Page(ctx context.Context, id string, after int) (batch.Page, bool)
-	// Told takes over how many requests another host has at each server.
-	Told(host string, counts map[string]int)
 }
 
 // Register serves the calls of other hosts from owner.
@@ -90,19 +87,6 @@
 	return reply, nil
 }
 
-// Tell implements batchlinkpb.BatchLinkServer.
-func (h handler) Tell(_ context.Context, r *batchlinkpb.TellRequest) (*batchlinkpb.TellReply, error) {
-	if len(r.GetServers()) != len(r.GetCounts()) {
-		return nil, classError.New("%d servers and %d counts", len(r.GetServers()), len(r.GetCounts()))
-	}
-	counts := make(map[string]int, len(r.GetServers()))
-	for i, server := range r.GetServers() {
-		counts[server] = int(r.GetCounts()[i])
-	}
-	h.owner.Told(r.GetHost(), counts)
-	return &batchlinkpb.TellReply{}, nil
-}
-
 // Client asks other hosts. The fields are set before the first call.
 type Client struct {
 	Pool *peer.Pool
@@ -173,19 +157,6 @@
 	return page, true, nil
 }
 
-// Tell lets the host at address know how many requests this host has at each server.
-func (c *Client) Tell(ctx context.Context, address, self string, counts map[string]int) error {
-	request := &batchlinkpb.TellRequest{Host: self}
-	for server, count := range counts {
-		request.Servers = append(request.Servers, server)
-		request.Counts = append(request.Counts, int32(min(count, math.MaxInt32))) //nolint:gosec // It is bounded.
-	}
-	_, err := call(c, address, func(link batchlinkpb.BatchLinkClient) (*batchlinkpb.TellReply, error) {
-		return link.Tell(ctx, request)
-	})
-	return err
-}
-
 func call[T any](c *Client, address string, do func(batchlinkpb.BatchLinkClient) (T, error)) (T, error) {
 	var reply T
 	err := c.Pool.Call(address, func(conn grpc.ClientConnInterface) error {
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -63,8 +63,6 @@
 	// rewards are the reward calls that have no answer yet.
 	rewards reward.Queue[*scoring]
 	runs    map[string]*run
-	// started is closed and replaced when items were started.
-	started chan struct{}
 	// typical is the median pace of each service's engines.
 	typical map[string]time.Duration
 	wake    chan struct{}
@@ -273,24 +271,6 @@
 	r.startRewards(c, now)
 }
 
-// Started returns a channel that is closed when items are next started.
-func (r *Runner) Started() <-chan struct{} {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.started == nil {
-		r.started = make(chan struct{})
-	}
-	return r.started
-}
-
-// noteStarted tells those who wait that items were started. The mutex is held.
-func (r *Runner) noteStarted() {
-	if r.started != nil {
-		close(r.started)
-		r.started = nil
-	}
-}
-
 // Finish takes no new batches and lets those that this host runs go on until they
 // are closed or ctx ends. Most steps end sooner than a host must, and a batch that
 // moves costs its new owner connections to all its engines.
--- a/internal/rollout/batchrun/service.go
+++ b/internal/rollout/batchrun/service.go
@@ -42,9 +42,6 @@
 	// Ping asks whether the host at address lives. The error is batchlink.ErrNobody
 	// if the process there has certainly ended.
 	Ping(ctx context.Context, address string) error
-	// Tell lets the host at address know how many requests the host self has at each
-	// server.
-	Tell(ctx context.Context, address, self string, counts map[string]int) error
 	// Read reads results at the owner; false if it doesn't run the batch.
 	Read(ctx context.Context, address, id string, after int, wait time.Duration) (batch.Page, bool, error)
 }
--- a/internal/rollout/placing/placing.go
+++ b/internal/rollout/placing/placing.go
@@ -81,9 +81,9 @@
 	return version >= demand.MinVersion
 }
 
-// Used returns the number of requests that are likely to be at the engine: what all
-// hosts say that they have there, or what the engine told some hundred milliseconds ago.
-func Used(c inventory.Candidate) float64 { return float64(max(c.InFlight+c.Elsewhere, c.Reported)) }
+// Used returns the number of requests that are likely to be at the engine. The
+// count that it told is some hundred milliseconds old.
+func Used(c inventory.Candidate) float64 { return float64(max(c.InFlight, c.Reported)) }
 
 func cost(c inventory.Candidate, typical time.Duration) float64 {
 	pace := c.Pace
