Give no order under a permission that is old

Cause: a giver that was paused or delayed between its entry in the register and the order sent the order whenever it went on; another host may order the engine by then.

The age of the permission is taken on both clocks, since the steady one stands still while a machine is suspended; an order older than 0.5 s is not given, and the spacing counts this and the 0.8 s of an order under way (0.9 s together before). TestAnOldPermissionGivesNoOrder fails without.

--- a/internal/rollout/loading/giver.go
+++ b/internal/rollout/loading/giver.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
+	"github.com/nutmegway/nutmegway/internal/base/elapsed"
 	"github.com/nutmegway/nutmegway/internal/base/wait"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
 )
@@ -22,9 +23,12 @@
 	// loadTimeout is how long an accepted order may take before the engine is
 	// asked what became of it. A load takes 0.9 s, longer when several load.
 	loadTimeout = 3 * time.Second
-	// orderSlack is added to the least time between orders of two hosts: an
-	// order may still be under way for this long after the list of hosts was read.
-	orderSlack = 900 * time.Millisecond
+	// permitAge is how old a permission may be when its order is sent. The store
+	// answers within this time when it is slowed ninety times.
+	permitAge = 500 * time.Millisecond
+	// orderSlack is added to the least time between orders of two hosts: an order is
+	// sent within permitAge of its permission and under way for 0.8 s at most.
+	orderSlack = permitAge + 800*time.Millisecond
 	// doubtTimeout is how long an engine whose answer was lost is left alone
 	// before it is asked.
 	doubtTimeout = time.Second
@@ -187,11 +191,12 @@
 		}
 	}
 	g.readRecords(ctx)
+	asked := elapsed.Now(g.Now)
 	orders, fence := g.permitted(ctx, orders)
 	group, groupCtx := errgroup.WithContext(ctx)
 	for _, order := range orders {
 		group.Go(func() error {
-			g.give(groupCtx, order, fence)
+			g.give(groupCtx, order, fence, asked)
 			return nil
 		})
 	}
@@ -330,8 +335,14 @@
 	return servers, busy, doubtful
 }
 
-// give sends one order.
-func (g *Giver) give(ctx context.Context, order Order, fence int64) {
+// give sends one order, unless its permission was asked for too long ago: this process
+// may have been paused or its call delayed, and another host may order the engine now.
+func (g *Giver) give(ctx context.Context, order Order, fence int64, asked elapsed.Mark) {
+	if age := asked.Since(g.Now); age > permitAge {
+		g.Logger.LogAttrs(ctx, slog.LevelWarn, "order not given, its permission is old", slog.String("server", order.Server.ID),
+			slog.String("model", order.Model), slog.Int64("fence", fence), slog.Duration("age", age))
+		return
+	}
 	g.mu.Lock()
 	p := g.orders[order.Server.ID]
 	p.accepted, p.model, p.pending, p.sent, p.version = false, order.Model, true, time.Now(), order.Version
--- a/internal/rollout/loading/loading_test.go
+++ b/internal/rollout/loading/loading_test.go
@@ -382,3 +382,44 @@
 		is.Equal(len(e.holders["a"]), int(e.accepted["a"]-7)) // and no order was refused
 	})
 }
+
+// delayedRegister enters orders and comes back late, as to a process that was paused.
+type delayedRegister struct {
+	loading.Register
+
+	delay time.Duration
+}
+
+func (r delayedRegister) Enter(ctx context.Context, permit loading.Permit, engines []string, now time.Time) (int64, error) {
+	fence, err := r.Register.Enter(ctx, permit, engines, now)
+	time.Sleep(r.delay)
+	return fence, err
+}
+
+// TestAnOldPermissionGivesNoOrder delays a giver for seconds between the permission to
+// order an engine and the order, and then no longer.
+func TestAnOldPermissionGivesNoOrder(t *testing.T) {
+	for name, c := range map[string]struct {
+		delay time.Duration
+		want  bool
+	}{"in time": {400 * time.Millisecond, true}, "paused": {5 * time.Second, false}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				e := &engines{accepted: map[string]int64{}, holders: map[string][]orderAt{}, inv: &inventory.Inventory{}}
+				e.inv.Set(engine("a", 1))
+				f := newFleet()
+				defer f.set(t)
+				f.set(t, "h1")
+				g := giver("h1", f, e)
+				g.Register = delayedRegister{Register: g.Register, delay: c.delay}
+				g.Observe([]string{"h1"})
+				g.Named("m", 3)
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+				defer cancel()
+				is.NoErr(g.Run(ctx))
+				is.Equal(len(e.holders["a"]) > 0, c.want)
+			})
+		})
+	}
+}
