Offer batches that a leaving host gives up to their successor

The leaving host tells the successor at once, which claims the batch as before. TestALeavingOwnerOffersItsBatches: the successor hears nothing of heads by any other way.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -151,6 +151,7 @@
 		h.Batches.Link = &batchlink.Client{Pool: h.peers}
 	}
 	h.runner.OnHead = h.Batches.Index.Put
+	h.runner.OnReleased = h.Batches.Offer
 	h.giver = &loading.Giver{
 		Config: h.config.Load, Engines: h.Engines, Inventory: h.inventory, Logger: h.Logger,
 		Register: &loading.Ledger{Known: h.roster.Known, Self: h.Settings.ID, Store: h.store}, Self: h.Settings.ID,
--- a/internal/rollout/batchlink/batchlink.go
+++ b/internal/rollout/batchlink/batchlink.go
@@ -36,6 +36,8 @@
 	// Adopt runs a batch that is stored with this host as its owner. It returns
 	// false if the host takes none.
 	Adopt(ctx context.Context, head batch.Head, b batch.Batch) bool
+	// Offered tells of a batch that another host has given up.
+	Offered(ctx context.Context, head batch.Head)
 	// Page returns listed results, waiting for one until ctx ends; false if this
 	// host doesn't run the batch.
 	Page(ctx context.Context, id string, after int) (batch.Page, bool)
@@ -65,6 +67,17 @@
 	return &batchlinkpb.AdoptReply{Running: h.owner.Adopt(ctx, head, b)}, nil
 }
 
+// Offer implements batchlinkpb.BatchLinkServer.
+func (h handler) Offer(ctx context.Context, r *batchlinkpb.OfferRequest) (*batchlinkpb.OfferReply, error) {
+	var head batch.Head
+	if err := json.Unmarshal(r.GetHead(), &head); err != nil {
+		return nil, classError.Wrap(err)
+	}
+	head.Revision = r.GetHeadRevision()
+	h.owner.Offered(ctx, head)
+	return &batchlinkpb.OfferReply{}, nil
+}
+
 // Ping implements batchlinkpb.BatchLinkServer.
 func (handler) Ping(context.Context, *batchlinkpb.PingRequest) (*batchlinkpb.PingReply, error) {
 	return &batchlinkpb.PingReply{}, nil
@@ -113,6 +126,20 @@
 	return reply.GetRunning(), err
 }
 
+// Offer lets the host at address take up a batch that this host has given up.
+func (c *Client) Offer(ctx context.Context, address string, head batch.Head) error {
+	encoded, err := json.Marshal(head)
+	if err != nil {
+		return classError.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
+	defer cancel()
+	_, err = call(c, address, func(link batchlinkpb.BatchLinkClient) (*batchlinkpb.OfferReply, error) {
+		return link.Offer(ctx, &batchlinkpb.OfferRequest{Head: encoded, HeadRevision: head.Revision})
+	})
+	return err
+}
+
 // ErrNobody is the failure of a ping to an address at which no process listens: the
 // process that did has ended, and its connections are closed.
 var ErrNobody = classError.New("no process listens there")
--- a/internal/rollout/batchrun/list.go
+++ b/internal/rollout/batchrun/list.go
@@ -230,6 +230,9 @@
 		r.Logger.LogAttrs(ctx, slog.LevelWarn, "batch not given up", slog.String("batch", head.ID), slog.Any("error", err))
 	}
 	r.stop(x, released)
+	if err == nil && r.OnReleased != nil {
+		r.OnReleased(ctx, released)
+	}
 }
 
 // awaitStreams waits until no item of the run is at an engine.
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -49,6 +49,8 @@
 	// OnHead is told a head that the store holds and that this host did not
 	// expect.
 	OnHead func(batch.Head)
+	// OnReleased is told the head of a batch that this host has given up; nil isn't.
+	OnReleased func(context.Context, batch.Head)
 	// Rewards sends the reward requests of items whose text is whole.
 	Rewards *forward.Forwarder
 	Self    batch.Owner
@@ -306,6 +308,13 @@
 	_ = group.Wait()
 }
 
+// isFinishing reports whether this host takes no new batches.
+func (r *Runner) isFinishing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.finishing
+}
+
 // Running returns the number of batches that this host runs.
 func (r *Runner) Running() int {
 	r.mu.Lock()
--- a/internal/rollout/batchrun/service.go
+++ b/internal/rollout/batchrun/service.go
@@ -39,6 +39,8 @@
 type Link interface {
 	// Adopt hands a stored batch to its owner and reports whether it runs there.
 	Adopt(ctx context.Context, address string, head batch.Head, b batch.Batch) (bool, error)
+	// Offer lets the host at address take up a batch that this host has given up.
+	Offer(ctx context.Context, address string, head batch.Head) error
 	// Ping asks whether the host at address lives. The error is batchlink.ErrNobody
 	// if the process there has certainly ended.
 	Ping(ctx context.Context, address string) error
@@ -302,9 +304,12 @@
 	}
 }
 
-// successor reports whether this host takes the batch if its owner is gone. All
-// hosts that see the same list choose the same one.
-func (s *Service) successor(head batch.Head) bool {
+// successor reports whether this host takes the batch if its owner is gone.
+func (s *Service) successor(head batch.Head) bool { return s.successorOf(head) == s.Runner.Self.Host }
+
+// successorOf returns the host that takes the batch if its owner is gone. All hosts
+// that see the same list choose the same one.
+func (s *Service) successorOf(head batch.Head) string {
 	hosts := s.Roster.Hosts()
 	without := slices.DeleteFunc(slices.Clone(hosts), func(h roster.Host) bool {
 		return h.ID == head.Owner.Host && !s.returned(head.Owner)
@@ -312,7 +317,31 @@
 	if len(without) > 0 {
 		hosts = without
 	}
-	return rendezvous.Owner(head.ID, roster.IDs(roster.Strong(hosts))) == s.Runner.Self.Host
+	return rendezvous.Owner(head.ID, roster.IDs(roster.Strong(hosts)))
+}
+
+// Offer tells the successor of a batch that this host has given up. The store tells it
+// too, up to a second later.
+func (s *Service) Offer(ctx context.Context, head batch.Head) {
+	next, ok := s.Roster.Get(s.successorOf(head))
+	if s.Link == nil || !ok || next.Peer == "" || next.ID == s.Runner.Self.Host {
+		return
+	}
+	err := s.Link.Offer(ctx, next.Peer, head)
+	s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch offered", slog.String("batch", head.ID), slog.String("to", next.ID), slog.Any("error", err))
+}
+
+// Offered takes up a batch that another host has given up, unless this host is leaving
+// or another one was faster.
+func (s *Service) Offered(ctx context.Context, head batch.Head) {
+	s.Index.Put(head)
+	if !head.IsOpen() || head.Owner != (batch.Owner{}) || s.Runner.Has(head.ID) || s.Runner.isFinishing() {
+		return
+	}
+	s.Runner.Go("takeover of batch "+head.ID, func() error {
+		s.takeOver(context.WithoutCancel(ctx), head)
+		return nil
+	})
 }
 
 // returned reports whether the owner's host runs another incarnation by now.
--- a/internal/rollout/batchrun/service_test.go
+++ b/internal/rollout/batchrun/service_test.go
@@ -1,9 +1,12 @@
 package batchrun_test
 
 import (
+	"context"
 	"encoding/json"
 	"net"
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -63,3 +66,64 @@
 	checkWhole(t, readAll(t, a.service), 1)
 	is.Equal(engine.requests(), []string{"x-i0@2"})
 }
+
+// offers passes offers on to the other host's service and reaches nobody otherwise.
+type offers struct {
+	batchrun.Link
+
+	to *batchrun.Service
+}
+
+func (o offers) Offer(ctx context.Context, _ string, head batch.Head) error {
+	o.to.Offered(ctx, head)
+	return nil
+}
+
+func (offers) Ping(context.Context, string) error { return nil }
+
+// TestALeavingOwnerOffersItsBatches stops the owner of a batch whose successor hears
+// nothing of heads from the store, where news takes up to a second.
+func TestALeavingOwnerOffersItsBatches(t *testing.T) {
+	is := is.New(t)
+	store := &kvmemory.Store{}
+	engine := newEngine(t)
+	started, release := make(chan struct{}, 10), make(chan struct{})
+	engine.handle = func(w http.ResponseWriter, r *http.Request) bool {
+		if r.Header.Get("Resume-After") != "" {
+			return false
+		}
+		engine.stream(w, r, 2)
+		started <- struct{}{}
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+		return true
+	}
+	b := newHostWith(t, "b", store, func(s *batchrun.Service) { s.Index = &batch.Index{Logger: s.Logger} }, engine)
+	entry, err := json.Marshal(roster.Host{Address: "b", ID: "b", Incarnation: "1", Peer: "b"})
+	is.NoErr(err)
+	a := newHostWith(t, "a", store, func(s *batchrun.Service) {
+		s.Link = offers{to: b.service}
+		s.Runner.OnReleased = s.Offer
+	}, engine)
+	head, _, err := (&batch.Store{KV: store}).Accept(t.Context(), sample(1), batch.Owner{Host: "a", Incarnation: "1"})
+	is.NoErr(err)
+	is.True(a.service.Adopt(t.Context(), head, sample(1)))
+	<-started
+	_, err = store.Commit(t.Context(), kv.Txn{Writes: []kv.Write{{Key: roster.Prefix + "b", Value: entry}}})
+	is.NoErr(err)
+	for {
+		if host, ok := a.service.Roster.Get("b"); ok && host.Peer != "" {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	for a.inventory.Candidates("s")[0].Pace == 0 {
+		time.Sleep(time.Millisecond) // until the host has read both events
+	}
+	a.stop()
+	close(release)
+	checkWhole(t, readAll(t, b.service), 1)
+	is.Equal(engine.requests(), []string{"x-i0@", "x-i0@2"})
+}
