Let hosts that give no orders plan none, and keep servers sorted by service

Each host, whether or not it gives orders, ranked all hosts anew for each engine in each look at the plan, up to 40 times a second while servers change, and each single request sorted the ids of all servers.

The givers are worked out once for each list of hosts; a host that isn't one of them plans nothing and forgets what it knew, so that it reads the register before it orders again. Servers are kept in order by service. An answer names 64 addresses at most, as callers take no more.

--- a/internal/backend/inventory/inventory.go
+++ b/internal/backend/inventory/inventory.go
@@ -68,10 +68,12 @@
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 
-	mu      sync.Mutex
-	changed chan struct{}
-	servers map[string]Server
-	states  map[string]*state
+	mu sync.Mutex
+	// byService holds the ids of each service's servers, ascending.
+	byService map[string][]string
+	changed   chan struct{}
+	servers   map[string]Server
+	states    map[string]*state
 }
 
 // Set adds or replaces a server.
@@ -88,6 +90,10 @@
 	if st := v.states[s.ID]; st != nil {
 		st.versions = nil
 	}
+	if before.Service != s.Service {
+		v.unlist(before)
+		v.list(s)
+	}
 	v.servers[s.ID] = s
 	v.notify()
 }
@@ -96,6 +102,7 @@
 func (v *Inventory) Remove(id string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.unlist(v.servers[id])
 	delete(v.servers, id)
 	if st := v.states[id]; st != nil && st.inFlight == 0 {
 		delete(v.states, id)
@@ -103,6 +110,25 @@
 	v.notify()
 }
 
+// list enters the id of a server among those of its service. v.mu is held.
+func (v *Inventory) list(s Server) {
+	if v.byService == nil {
+		v.byService = make(map[string][]string)
+	}
+	ids := v.byService[s.Service]
+	if at, found := slices.BinarySearch(ids, s.ID); !found {
+		v.byService[s.Service] = slices.Insert(ids, at, s.ID)
+	}
+}
+
+// unlist takes the id of a server from those of its service. v.mu is held.
+func (v *Inventory) unlist(s Server) {
+	ids := v.byService[s.Service]
+	if at, found := slices.BinarySearch(ids, s.ID); found {
+		v.byService[s.Service] = slices.Delete(ids, at, at+1)
+	}
+}
+
 // Get returns a server and whether it is known.
 func (v *Inventory) Get(id string) (Server, bool) {
 	v.mu.Lock()
@@ -134,10 +160,11 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.now()
-	var candidates []Candidate
-	for _, id := range slices.Sorted(maps.Keys(v.servers)) {
+	ids := v.byService[service]
+	candidates := make([]Candidate, 0, len(ids))
+	for _, id := range ids {
 		s := v.servers[id]
-		if s.Service != service || s.Draining {
+		if s.Draining {
 			continue
 		}
 		c := Candidate{Server: s, Reported: -1}
@@ -233,6 +260,9 @@
 	defer v.mu.Unlock()
 	st := v.state(id)
 	if st.versions == nil {
+		if v.servers[id].Versions[model] == version {
+			return // Its entry says the same.
+		}
 		st.versions = make(map[string]int64)
 	}
 	st.versions[model] = version
--- a/internal/backend/inventory/inventory_test.go
+++ b/internal/backend/inventory/inventory_test.go
@@ -1,6 +1,7 @@
 package inventory_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -130,3 +131,41 @@
 	is.True(told(func() { v.Finished("a") })) // a slot is free
 	is.True(!told(func() { v.Answered("a", 1) }))
 }
+
+// BenchmarkCandidates looks for a plain server among thousands of engines, as each
+// single request does.
+func BenchmarkCandidates(b *testing.B) {
+	v := &inventory.Inventory{}
+	for i := range 2200 {
+		v.Set(inventory.Server{ID: fmt.Sprintf("e%04d", i), Service: "engines", Slots: 8, Versions: map[string]int64{"m": 1}})
+	}
+	for i := range 5 {
+		v.Set(inventory.Server{ID: fmt.Sprintf("p%d", i), Service: "plain", Slots: 6})
+	}
+	for b.Loop() {
+		v.Candidates("plain")
+	}
+}
+
+// TestServersChangeTheirService sets a server to another service, as when its address
+// and id come back elsewhere, and removes it.
+func TestServersChangeTheirService(t *testing.T) {
+	is := is.New(t)
+	v := &inventory.Inventory{}
+	ids := func(service string) (list []string) {
+		for _, c := range v.Candidates(service) {
+			list = append(list, c.ID)
+		}
+		return list
+	}
+	for _, id := range []string{"b", "a", "c"} {
+		v.Set(inventory.Server{ID: id, Service: "s"})
+	}
+	is.Equal(ids("s"), []string{"a", "b", "c"})
+	v.Set(inventory.Server{ID: "b", Service: "other"})
+	is.Equal(ids("s"), []string{"a", "c"})
+	is.Equal(ids("other"), []string{"b"})
+	v.Remove("b")
+	v.Remove("unknown")
+	is.Equal(len(ids("other")), 0)
+}
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -47,6 +48,8 @@
 	notReadyWait = 300 * time.Millisecond
 	// stopMargin is left of the grace when requests in flight are cut.
 	stopMargin = 700 * time.Millisecond
+	// maxAddresses bounds the addresses of one answer. Answers of a larger fleet differ.
+	maxAddresses = 64
 	// handoverTime is left of it when batches that still run are handed over: two
 	// seconds for the calls and one for a busy machine.
 	handoverTime = 3 * time.Second
@@ -346,6 +349,8 @@
 	if len(addresses) == 0 {
 		return nil, 0, kind.New(kind.Unavailable, "no other host is known").WithRetryAfter(notReadyWait)
 	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	addresses = addresses[:min(len(addresses), maxAddresses)]
 	return addresses, h.Settings.addressTTL(), nil
 }
 
--- a/internal/rollout/loading/giver.go
+++ b/internal/rollout/loading/giver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -102,8 +103,10 @@
 	// Spacing is the least time between orders of two hosts to one engine.
 	Spacing time.Duration
 
-	mu     sync.Mutex
-	given  metric.Int64Counter
+	mu    sync.Mutex
+	given metric.Int64Counter
+	// idle is set while other hosts give all orders.
+	idle   bool
 	named  map[string]int64
 	orders map[string]*progress
 	rights rights
@@ -150,7 +153,19 @@
 func (g *Giver) Observe(hosts []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.rights.hosts = hosts
+	g.setHosts(hosts)
+}
+
+// setHosts takes over the list of living hosts. A host that gives no orders under it
+// forgets what it knew of engines, so that it reads their records before it orders
+// again. g.mu is held.
+func (g *Giver) setHosts(hosts []string) {
+	g.rights.givers = givers(hosts)
+	g.idle = len(hosts) > 0 && !slices.Contains(g.rights.givers, g.Self)
+	if g.idle {
+		g.rights.engines = nil
+		clear(g.orders)
+	}
 }
 
 // Run gives orders until ctx ends.
@@ -179,7 +194,10 @@
 // round gives the orders that are due and asks the engines that are in doubt.
 func (g *Giver) round(ctx context.Context) {
 	c := g.Config()
-	if c == nil {
+	g.mu.Lock()
+	idle := g.idle
+	g.mu.Unlock()
+	if c == nil || idle {
 		return
 	}
 	var orders []Order
@@ -251,7 +269,7 @@
 		return nil, 0
 	}
 	g.mu.Lock()
-	g.rights.hosts = permit.Hosts
+	g.setHosts(permit.Hosts)
 	var permitted []Order
 	var engines []string
 	for _, order := range orders {
@@ -345,6 +363,11 @@
 	}
 	g.mu.Lock()
 	p := g.orders[order.Server.ID]
+	if p == nil {
+		// Another host gives the engine's orders by now.
+		g.mu.Unlock()
+		return
+	}
 	p.accepted, p.model, p.pending, p.sent, p.version = false, order.Model, true, time.Now(), order.Version
 	expected := p.next
 	g.mu.Unlock()
@@ -375,6 +398,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.orders[server.ID]
+	if p == nil {
+		return // Another host gives the engine's orders by now.
+	}
 	if err != nil {
 		p.sent = time.Now()
 		g.Logger.LogAttrs(ctx, slog.LevelInfo, "engine did not tell its state", slog.String("server", server.ID), slog.Any("error", err))
--- a/internal/rollout/loading/loading_test.go
+++ b/internal/rollout/loading/loading_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"slices"
 	"sync"
@@ -423,3 +424,68 @@
 		})
 	}
 }
+
+// TestHostsWithoutOrdersPlanNone has a fleet in which six of 40 hosts give all orders:
+// the others neither plan nor ask, and one that becomes a giver reads the register
+// before it orders.
+func TestHostsWithoutOrdersPlanNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var hosts []string
+		for i := range 40 {
+			hosts = append(hosts, fmt.Sprintf("h%02d", i))
+		}
+		giving := 0
+		for _, id := range hosts {
+			e := &engines{accepted: map[string]int64{}, holders: map[string][]orderAt{}, inv: &inventory.Inventory{}}
+			e.inv.Set(engine("a", 1))
+			f := newFleet()
+			asked := &askedRegister{}
+			g := giver(id, f, e)
+			g.Register = asked
+			g.Observe(hosts)
+			g.Named("m", 3)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			is.NoErr(g.Run(ctx))
+			cancel()
+			if asked.records > 0 {
+				giving++
+			}
+		}
+		is.Equal(giving, 1) // one engine has one giver
+	})
+}
+
+// askedRegister counts the questions for records and permits nothing.
+type askedRegister struct{ records int }
+
+func (*askedRegister) Permit(context.Context) (loading.Permit, error) {
+	return loading.Permit{}, errors.New("not permitted")
+}
+
+func (*askedRegister) Enter(context.Context, loading.Permit, []string, time.Time) (int64, error) {
+	return 0, errors.New("not permitted")
+}
+
+func (r *askedRegister) Records(context.Context) (map[string]loading.Record, error) {
+	r.records++
+	return nil, nil
+}
+
+// BenchmarkRound is one look at the engines of the planned size, on a host that orders
+// some of them.
+func BenchmarkRound(b *testing.B) {
+	var hosts []string
+	for i := range 720 {
+		hosts = append(hosts, fmt.Sprintf("h%03d", i))
+	}
+	inv := &inventory.Inventory{}
+	for i := range 2200 {
+		inv.Set(engine(fmt.Sprintf("e%04d", i), 3))
+	}
+	g := giver("h000", newFleet(), &engines{accepted: map[string]int64{}, holders: map[string][]orderAt{}, inv: inv})
+	loading.Prepare(g, hosts)
+	for b.Loop() {
+		loading.Round(b.Context(), g)
+	}
+}
--- a/internal/rollout/loading/rights.go
+++ b/internal/rollout/loading/rights.go
@@ -30,8 +30,9 @@
 
 // rights decides whether this host may order an engine. It does no I/O.
 type rights struct {
-	hosts []string
-	self  string
+	// givers are the hosts that order engines.
+	givers []string
+	self   string
 	// spacing is how long after the order of another host this one may order.
 	spacing time.Duration
 
@@ -58,7 +59,7 @@
 		e = &right{}
 		r.engines[engine] = e
 	}
-	first := rendezvous.Owner(engine, givers(r.hosts)) == r.self
+	first := rendezvous.Owner(engine, r.givers) == r.self
 	if !first || !e.first {
 		e.read = false
 	}
