Keep the addresses of one host's answers the same

Callers give up open connections to addresses that a later answer lacks. An answer of a fleet above 64 hosts was a new sample each time; now each host names a part of the fleet of its own, and all parts together name every host about equally often (TestAddressesOfALargeFleet).

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -48,7 +47,8 @@
 	notReadyWait = 300 * time.Millisecond
 	// stopMargin is left of the grace when requests in flight are cut.
 	stopMargin = 700 * time.Millisecond
-	// maxAddresses bounds the addresses of one answer. Answers of a larger fleet differ.
+	// maxAddresses bounds the addresses of one answer. In a larger fleet the answers of
+	// two hosts differ.
 	maxAddresses = 64
 	// handoverTime is left of it when batches that still run are handed over: two
 	// seconds for the calls and one for a busy machine.
@@ -339,9 +339,8 @@
 	if h.config.Load() == nil {
 		return nil, 0, kind.New(kind.Unavailable, "no configuration is known yet").WithRetryAfter(notReadyWait)
 	}
-	hosts := h.roster.Hosts()
-	addresses := make([]string, 0, len(hosts))
-	for _, host := range hosts {
+	var addresses []string
+	for _, host := range h.roster.Hosts() {
 		if host.Address != "" {
 			addresses = append(addresses, host.Address)
 		}
@@ -349,8 +348,11 @@
 	if len(addresses) == 0 {
 		return nil, 0, kind.New(kind.Unavailable, "no other host is known").WithRetryAfter(notReadyWait)
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	addresses = addresses[:min(len(addresses), maxAddresses)]
+	if len(addresses) > maxAddresses {
+		// Callers give up connections to addresses that a later answer lacks, so each
+		// host keeps to a part of the fleet.
+		addresses = rendezvous.Rank(h.Settings.ID, addresses)[:maxAddresses]
+	}
 	return addresses, h.Settings.addressTTL(), nil
 }
 
