Let Pause return once the process stands still

Ruled out: the test's request began before the signal (it is sent after Pause has returned).

Pause waits until the system lists all threads as stopped. The soak and the chaos run pause hosts with it too. The check is unchanged.

--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -24,6 +25,12 @@
 
 const stopTimeout = 40 * time.Second
 
+const (
+	// pauseTimeout bounds the wait for a pause, which is looked for each pausePoll.
+	pauseTimeout = 5 * time.Second
+	pausePoll    = time.Millisecond
+)
+
 // Build compiles the packages into dir, from the module root directory.
 func Build(ctx context.Context, root, dir string, packages ...string) error {
 	args := append([]string{"build", "-o", dir + string(filepath.Separator)}, packages...)
@@ -113,8 +120,40 @@
 // Signal sends s.
 func (p *Process) Signal(s os.Signal) error { return Error.Wrap(p.command.Process.Signal(s)) }
 
-// Pause stops the process without ending it.
-func (p *Process) Pause() error { return p.Signal(syscall.SIGSTOP) }
+// Pause stops the process without ending it, and returns once all its threads stand
+// still: the signal is delivered to a thread that runs on another core a little later.
+func (p *Process) Pause() error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	for began := time.Now(); time.Since(began) < pauseTimeout; time.Sleep(pausePoll) {
+		if p.isStopped() {
+			return nil
+		}
+	}
+	return Error.New("the process goes on %s after it was told to pause", pauseTimeout)
+}
+
+// isStopped reports whether all threads are stopped, as the system lists them. Where it
+// lists none, a process counts as stopped.
+func (p *Process) isStopped() bool {
+	paths, err := filepath.Glob(filepath.Join("/proc", strconv.Itoa(p.command.Process.Pid), "task", "*", "stat"))
+	if err != nil {
+		return true
+	}
+	for _, path := range paths {
+		stat, err := os.ReadFile(path)
+		if err != nil {
+			continue // The thread has ended.
+		}
+		// The state follows the name, which is in brackets.
+		_, state, _ := strings.Cut(string(stat), ") ")
+		if !strings.HasPrefix(state, "T") && !strings.HasPrefix(state, "Z") {
+			return false
+		}
+	}
+	return true
+}
 
 // Resume lets a paused process run on.
 func (p *Process) Resume() error { return p.Signal(syscall.SIGCONT) }
