Say in the logs what a server was asked to run and whether it ended

Cause: the lines of a failed request name its id and its servers. Repeats have new ids, so nothing shows that they ask for the same, and a server that ended looks like one that broke a connection.

Change: a fingerprint of what is asked for on both lines, tries by outcome, and a new package, backend/ending, which looks into servers that left a request without an answer: two probes of a broken one, then its entry. A server that is merely slow costs no connection.

--- a/internal/backend/plain/client.go
+++ b/internal/backend/plain/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -108,6 +109,17 @@
 	return response, nil
 }
 
+// Refuses reports whether the machine at address, an IP address and port, answers that
+// no process listens there. A machine that doesn't answer refuses nothing.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	c.once.Do(c.setUp)
+	conn, err := c.kept.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close() // Nothing was sent.
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // CloseIdle closes the connections that carry no request.
 func (c *Client) CloseIdle() {
 	c.once.Do(c.setUp)
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/nutmegway/nutmegway/internal/backend/dialect"
+	"github.com/nutmegway/nutmegway/internal/backend/ending"
 	"github.com/nutmegway/nutmegway/internal/backend/generation"
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
 	"github.com/nutmegway/nutmegway/internal/backend/plain"
@@ -101,6 +102,7 @@
 	config    atomic.Pointer[config.Config]
 	drain     chan struct{}
 	drainOnce sync.Once
+	endings   *ending.Watch
 	giver     *loading.Giver
 	inventory *inventory.Inventory
 	leaving   atomic.Bool
@@ -128,8 +130,9 @@
 		h.store = h.relayed
 	}
 	h.servers = &serverFeed{Documents: h.Documents, Inventory: h.inventory, Logger: h.Logger}
+	h.endings = &ending.Watch{Logger: h.Logger, Prober: h.Plain, Servers: h.inventory}
 	h.Forwarder = &forward.Forwarder{
-		Client: h.Plain, Dialect: h.Dialect, Inventory: h.inventory, Logger: h.Logger,
+		Client: h.Plain, Dialect: h.Dialect, Endings: h.endings, Inventory: h.inventory, Logger: h.Logger,
 		Self: h.Settings.ID, Zone: h.Settings.Zone,
 	}
 	h.roster = &roster.Roster{
@@ -205,6 +208,7 @@
 	}
 	supervise(groupCtx, "roster", h.roster.Run)
 	supervise(groupCtx, "runner", h.runner.Run)
+	supervise(groupCtx, "inquiries", h.endings.Run)
 	supervise(duties, "batches", h.Batches.Run)
 	supervise(duties, "orders", h.giver.Run)
 	supervise(duties, "retirements", h.retired.Run)
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -19,11 +19,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegway/nutmegway/internal/backend/dialect"
+	"github.com/nutmegway/nutmegway/internal/backend/ending"
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
 	"github.com/nutmegway/nutmegway/internal/backend/plain"
 	"github.com/nutmegway/nutmegway/internal/base/guard"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
+	"github.com/nutmegway/nutmegway/internal/request/poison"
 )
 
 const (
@@ -53,8 +55,10 @@
 
 // Forwarder sends requests on. The fields are set before the first call.
 type Forwarder struct {
-	Client    *plain.Client
-	Dialect   dialect.Dialect
+	Client  *plain.Client
+	Dialect dialect.Dialect
+	// Endings looks into servers that left a request without an answer; nil doesn't.
+	Endings   *ending.Watch
 	Inventory *inventory.Inventory
 	Logger    *slog.Logger
 	// Self is the id of this host.
@@ -68,7 +72,7 @@
 
 // answer is the outcome of one try at one server.
 type answer struct {
-	server string
+	server inventory.Server
 	// response is nil when there was no sound answer.
 	response *http.Response
 	// head is the start of the body, whole if rest is false.
@@ -100,8 +104,10 @@
 	defer cancel()
 	x := &exchange{
 		Forwarder: f, request: request, deadline: deadline, service: route.PickService(rand.Float64()),
-		attempts: attempts{chooser: f.Chooser(), route: route, tried: make(map[string]struct{})},
-		answers:  make(chan answer),
+		attempts:   attempts{chooser: f.Chooser(), route: route, tried: make(map[string]struct{})},
+		answers:    make(chan answer),
+		content:    poison.Content(request.Method, request.Host, request.Target, request.Body),
+		unanswered: make(map[string]ending.Case),
 	}
 	group, groupCtx := errgroup.WithContext(ctx)
 	x.group = group
@@ -112,8 +118,9 @@
 	}()
 	if err != nil {
 		f.metrics.count(ctx, string(kind.Of(err).Kind), time.Since(request.Arrived))
+		x.inquire(ctx, err)
 		f.Logger.LogAttrs(ctx, slog.LevelInfo, "request not served", slog.String("request-id", request.ID),
-			slog.String("route", route.Name), slog.String("service", x.service),
+			slog.Uint64("content", x.content), slog.String("route", route.Name), slog.String("service", x.service),
 			slog.Int("may-have-run", x.attempts.mayHaveRun), slog.Int("not-run", x.attempts.notRun),
 			slog.Int("at-servers", x.attempts.pending), slog.Any("servers", x.attempts.asked()),
 			slog.Duration("after", time.Since(request.Arrived)), slog.Any("error", err))
@@ -121,8 +128,15 @@
 	}
 	defer final.close()
 	f.metrics.count(ctx, "answered", time.Since(request.Arrived))
-	pass(w, final)
-	return nil
+	switch err := pass(w, final); {
+	case err == nil:
+		return nil
+	case errors.Is(err, errServerBroke) && ctx.Err() == nil:
+		x.logTry(ctx, answer{server: final.server, err: err, ran: kind.RanYes})
+		x.unanswered[final.server.ID] = x.newCase(final.server, true)
+		x.inquire(ctx, err)
+	}
+	panic(http.ErrAbortHandler)
 }
 
 // Chooser returns how this host chooses servers for single requests.
@@ -160,10 +174,51 @@
 
 	answers  chan answer
 	attempts attempts
+	content  uint64
 	deadline time.Time
 	group    *errgroup.Group
 	request  Request
 	service  string
+	// unanswered holds the servers that got the request and have not answered.
+	unanswered map[string]ending.Case
+}
+
+func (x *exchange) newCase(server inventory.Server, broken bool) ending.Case {
+	return ending.Case{Broken: broken, Content: x.content, RequestID: x.request.ID, Server: server}
+}
+
+// inquire has the servers looked into that left the request without an answer. A caller
+// who has left ended the other tries.
+func (x *exchange) inquire(ctx context.Context, err error) {
+	for _, c := range x.unanswered {
+		if !c.Broken && kind.Is(err, kind.Cancelled) {
+			continue
+		}
+		if !c.Broken {
+			x.metrics.countTry(ctx, trySilent)
+		}
+		if x.Endings != nil {
+			x.Endings.Ask(c)
+		}
+	}
+}
+
+// ended takes the end of a try over.
+func (x *exchange) ended(ctx context.Context, a answer) {
+	x.attempts.ended(a.ran)
+	outcome := tryAnswered
+	switch {
+	case a.ran == kind.RanNo:
+		outcome = tryNotRun
+	case a.response == nil:
+		outcome = tryBroken
+	}
+	x.metrics.countTry(ctx, outcome)
+	if outcome == tryBroken {
+		x.unanswered[a.server.ID] = x.newCase(a.server, true)
+		return
+	}
+	delete(x.unanswered, a.server.ID)
 }
 
 // run tries servers until one answers, no further try is allowed or ctx ends.
@@ -180,12 +235,12 @@
 		select {
 		case <-ctx.Done():
 			failed.close()
-			return answer{}, x.ended(ctx)
+			return answer{}, x.timeUp(ctx)
 		case <-hedge:
 			hedge = nil
 			x.start(ctx)
 		case a := <-x.answers:
-			x.attempts.ended(a.ran)
+			x.ended(ctx, a)
 			if a.response != nil && x.isFinal(a) {
 				failed.close()
 				return a, nil
@@ -205,7 +260,7 @@
 		return failed, nil
 	}
 	if ctx.Err() != nil {
-		return answer{}, x.ended(ctx)
+		return answer{}, x.timeUp(ctx)
 	}
 	return answer{}, x.attempts.refusal()
 }
@@ -219,8 +274,8 @@
 	return a.response.StatusCode < http.StatusInternalServerError || x.attempts.route.Repeat != config.RepeatFree
 }
 
-// ended is the error of a request whose time is up or whose caller has left.
-func (x *exchange) ended(ctx context.Context) error {
+// timeUp is the error of a request whose time is up or whose caller has left.
+func (x *exchange) timeUp(ctx context.Context) error {
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return kind.New(kind.Cancelled, "the caller has left")
 	}
@@ -240,6 +295,7 @@
 		return
 	}
 	x.attempts.started(candidate.ID)
+	x.unanswered[candidate.ID] = x.newCase(candidate.Server, false)
 	x.group.Go(func() error {
 		var a answer
 		err := guard.Call(x.Logger, "request "+x.request.ID, func() error {
@@ -247,7 +303,7 @@
 			return nil
 		})
 		if err != nil {
-			a = answer{server: candidate.ID, err: err, ran: kind.RanUnknown}
+			a = answer{server: candidate.Server, err: err, ran: kind.RanUnknown}
 		}
 		select {
 		case x.answers <- a:
@@ -276,9 +332,9 @@
 		if ctx.Err() == nil {
 			f.Inventory.Failed(candidate.ID)
 		}
-		return answer{server: candidate.ID, err: err, ran: kind.Of(err).Ran}
+		return answer{server: candidate.Server, err: err, ran: kind.Of(err).Ran}
 	}
-	a := answer{server: candidate.ID, response: response, ran: kind.RanYes}
+	a := answer{server: candidate.Server, response: response, ran: kind.RanYes}
 	if response.Header.Get(f.Dialect.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		a.ran = kind.RanNo
 		f.Inventory.Full(candidate.ID, shortestReturn)
@@ -291,7 +347,7 @@
 	a.head, err = io.ReadAll(io.LimitReader(response.Body, bufferBytes))
 	if err != nil {
 		_ = response.Body.Close()
-		return answer{server: candidate.ID, err: err, ran: kind.RanUnknown}
+		return answer{server: candidate.Server, err: err, ran: kind.RanUnknown}
 	}
 	a.rest = len(a.head) == bufferBytes
 	f.Inventory.Answered(candidate.ID, LoadTold(response.Header.Get(f.Dialect.Load)))
@@ -300,7 +356,8 @@
 
 func (x *exchange) logTry(ctx context.Context, a answer) {
 	attrs := []slog.Attr{
-		slog.String("request-id", x.request.ID), slog.String("server", a.server), slog.String("ran", string(a.ran)),
+		slog.String("request-id", x.request.ID), slog.Uint64("content", x.content), slog.String("server", a.server.ID),
+		slog.String("ran", string(a.ran)),
 	}
 	if a.response != nil {
 		attrs = append(attrs, slog.Int("status", a.response.StatusCode))
@@ -327,9 +384,12 @@
 	return r + w
 }
 
-// pass writes an answer as the server gave it. One that breaks off midway
-// breaks the caller's connection too, so that it can't be taken for a whole one.
-func pass(w http.ResponseWriter, a answer) {
+// errServerBroke is the failure of an answer that its server broke off.
+var errServerBroke = errors.New("the server broke its answer off")
+
+// pass writes an answer as the server gave it. After an error the caller's connection
+// must be broken too, so that the part can't be taken for a whole answer.
+func pass(w http.ResponseWriter, a answer) error {
 	header := w.Header()
 	for name, values := range a.response.Header {
 		header[name] = values
@@ -343,11 +403,9 @@
 	}
 	w.WriteHeader(a.response.StatusCode)
 	if _, err := w.Write(a.head); err != nil || !a.rest {
-		return
-	}
-	if err := copyFlushing(w, a.response.Body); err != nil {
-		panic(http.ErrAbortHandler)
+		return err
 	}
+	return copyFlushing(w, a.response.Body)
 }
 
 // copyFlushing passes bytes on as they arrive.
@@ -368,7 +426,7 @@
 			return nil
 		}
 		if err != nil {
-			return err
+			return errors.Join(errServerBroke, err)
 		}
 	}
 }
--- a/internal/request/forward/instruments.go
+++ b/internal/request/forward/instruments.go
@@ -14,6 +14,7 @@
 type instruments struct {
 	requests metric.Int64Counter
 	seconds  metric.Float64Histogram
+	tries    metric.Int64Counter
 }
 
 func newInstruments(logger *slog.Logger) instruments {
@@ -28,7 +29,26 @@
 	if err != nil {
 		logger.Error("metric not made", slog.Any("error", err))
 	}
-	return instruments{requests: requests, seconds: seconds}
+	tries, err := meter.Int64Counter("nutmegway.forward.tries",
+		metric.WithDescription("Tries of single requests at backend servers by outcome: answered, broken, not-run or silent."))
+	if err != nil {
+		logger.Error("metric not made", slog.Any("error", err))
+	}
+	return instruments{requests: requests, seconds: seconds, tries: tries}
+}
+
+// The outcomes of tries.
+const (
+	tryAnswered = "answered"
+	tryBroken   = "broken"
+	tryNotRun   = "not-run"
+	trySilent   = "silent"
+)
+
+func (i instruments) countTry(ctx context.Context, outcome string) {
+	if i.tries != nil {
+		i.tries.Add(ctx, 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+	}
 }
 
 func (i instruments) count(ctx context.Context, outcome string, took time.Duration) {
--- a/internal/request/poison/fingerprint.go
+++ b/internal/request/poison/fingerprint.go
@@ -23,6 +23,18 @@
 	return xxh3.HashString(model + "\x00" + normalized)
 }
 
+// Content returns the fingerprint of a single request: what a server runs, whoever asks
+// for it and under which id.
+func Content(method, host, target string, body []byte) uint64 {
+	var h xxh3.Hasher
+	for _, part := range []string{method, host, target} {
+		_, _ = h.WriteString(part) // A hash takes all bytes.
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(body)
+	return h.Sum64()
+}
+
 // Normalize returns a prompt without what callers renew with each repeat:
 // identifiers, dates and long numbers are replaced by a number sign, letters are
 // in lower case and white space is a single blank.
