Take a server that still listens for alive

Change: a probe has three outcomes, and a server that still accepts connections 50 ms after it broke one has not ended. The probe is shared with the question of hosts whether an owner of batches has ended, which had a copy of it.

--- a/internal/backend/ending/ending.go
+++ b/internal/backend/ending/ending.go
@@ -15,6 +15,7 @@
 
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
 	"github.com/nutmegway/nutmegway/internal/base/guard"
+	"github.com/nutmegway/nutmegway/internal/base/probe"
 	"github.com/nutmegway/nutmegway/internal/base/wait"
 )
 
@@ -33,11 +34,9 @@
 	probeAgain = 50 * time.Millisecond
 )
 
-// Prober connects to servers.
+// Prober finds out whether a process listens at an IP address and port.
 type Prober interface {
-	// Refuses reports whether the machine at address, an IP address and port, answers
-	// that no process listens there.
-	Refuses(ctx context.Context, address string) bool
+	Probe(ctx context.Context, address string) probe.Finding
 }
 
 // Servers are the backend servers as the platform lists them.
@@ -174,13 +173,20 @@
 	ctx, cancel := context.WithTimeout(ctx, inquiryTime)
 	defer cancel()
 	// A server that is merely slow is not worth a connection.
-	if c.Broken {
-		for range probes {
-			if w.Prober.Refuses(ctx, c.Server.Address) {
-				return evidenceRefused
+	for again := range probes {
+		if !c.Broken {
+			break
+		}
+		switch w.Prober.Probe(ctx, c.Server.Address) {
+		case probe.Nobody:
+			return evidenceRefused
+		case probe.Listens:
+			if again == probes-1 {
+				return ""
 			}
-			wait.For(ctx, probeAgain)
+		case probe.NoAnswer:
 		}
+		wait.For(ctx, probeAgain)
 	}
 	for ctx.Err() == nil {
 		now, known := w.Servers.Get(c.Server.ID)
--- a/internal/backend/plain/client.go
+++ b/internal/backend/plain/client.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -20,6 +19,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
+	"github.com/nutmegway/nutmegway/internal/base/probe"
 	"github.com/nutmegway/nutmegway/internal/base/refusal"
 )
 
@@ -109,15 +109,10 @@
 	return response, nil
 }
 
-// Refuses reports whether the machine at address, an IP address and port, answers that
-// no process listens there. A machine that doesn't answer refuses nothing.
-func (c *Client) Refuses(ctx context.Context, address string) bool {
+// Probe finds out whether a process listens at address, an IP address and port.
+func (c *Client) Probe(ctx context.Context, address string) probe.Finding {
 	c.once.Do(c.setUp)
-	conn, err := c.kept.DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = conn.Close() // Nothing was sent.
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return probe.Address(ctx, c.kept.DialContext, address)
 }
 
 // CloseIdle closes the connections that carry no request.
--- a/internal/rollout/batchlink/batchlink.go
+++ b/internal/rollout/batchlink/batchlink.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -16,6 +15,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/nutmegway/nutmegway/internal/base/probe"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
 	"github.com/nutmegway/nutmegway/internal/rollout/batchlink/batchlinkpb"
@@ -154,13 +154,9 @@
 		return err
 	}
 	// The gRPC library tells the cause in words only.
-	conn, dialErr := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	if errors.Is(dialErr, syscall.ECONNREFUSED) {
+	if probe.Address(ctx, (&net.Dialer{}).DialContext, address) == probe.Nobody {
 		return ErrNobody
 	}
-	if dialErr == nil {
-		_ = conn.Close() // Nothing was sent.
-	}
 	return err
 }
 
