Refuse content under which three servers ended, on all hosts

What callers saw: a request that ends each server which runs it came back under new ids, and each repeat reached as many servers as its route allows. Others got 503 while no server of their service ran.

Cause: the limit on servers belonged to one attempt of a caller. Nothing that was learned of a request outlived the attempt, on the same host or another.

Change: poison.Ledger keeps a record for each content under which servers ended, in the key-value service, among the few keys that every host follows. Three ends refuse it everywhere; five seconds later one copy is let through in the whole fleet, by the host whose conditional write prolongs the refusal. An answer clears the content, another end refuses it for ten minutes. A record is only written for a request that no server answered. Refused requests get 503 with the time to come back. Items and reward calls are never refused.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -30,6 +30,7 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/fleet/roster"
 	"github.com/nutmegway/nutmegway/internal/request/forward"
+	"github.com/nutmegway/nutmegway/internal/request/poison"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
 	"github.com/nutmegway/nutmegway/internal/rollout/batchlink"
 	"github.com/nutmegway/nutmegway/internal/rollout/batchrun"
@@ -100,6 +101,7 @@
 	Forwarder *forward.Forwarder
 
 	config    atomic.Pointer[config.Config]
+	contents  *poison.Ledger
 	drain     chan struct{}
 	drainOnce sync.Once
 	endings   *ending.Watch
@@ -130,9 +132,12 @@
 		h.store = h.relayed
 	}
 	h.servers = &serverFeed{Documents: h.Documents, Inventory: h.inventory, Logger: h.Logger}
-	h.endings = &ending.Watch{Logger: h.Logger, Prober: h.Plain, Servers: h.inventory}
+	h.contents = &poison.Ledger{
+		Duty: h.isFirst, Hosts: func() int { return len(h.roster.Listed()) }, Logger: h.Logger, Store: h.store,
+	}
+	h.endings = &ending.Watch{Logger: h.Logger, OnEnded: h.serverEnded, Prober: h.Plain, Servers: h.inventory}
 	h.Forwarder = &forward.Forwarder{
-		Client: h.Plain, Dialect: h.Dialect, Endings: h.endings, Inventory: h.inventory, Logger: h.Logger,
+		Client: h.Plain, Contents: h.contents, Dialect: h.Dialect, Endings: h.endings, Inventory: h.inventory, Logger: h.Logger,
 		Self: h.Settings.ID, Zone: h.Settings.Zone,
 	}
 	h.roster = &roster.Roster{
@@ -209,6 +214,7 @@
 	supervise(groupCtx, "roster", h.roster.Run)
 	supervise(groupCtx, "runner", h.runner.Run)
 	supervise(groupCtx, "inquiries", h.endings.Run)
+	supervise(groupCtx, "contents", h.contents.Run)
 	supervise(duties, "batches", h.Batches.Run)
 	supervise(duties, "orders", h.giver.Run)
 	supervise(duties, "retirements", h.retired.Run)
@@ -251,6 +257,7 @@
 		h.roster.Apply(c)
 		h.giver.Observe(roster.IDs(h.roster.Listed()))
 		h.Batches.Index.Apply(c)
+		h.contents.Apply(c)
 	}}
 	mirrors := []*mirror.Mirror{
 		{After: h.live, OnChange: h.applyOperators, Prefix: prefixes.Operators, Wait: h.Settings.operatorsWait()},
@@ -271,6 +278,11 @@
 	return mirrors
 }
 
+// serverEnded counts the end of a server against what it was asked to run.
+func (h *Host) serverEnded(c ending.Case) {
+	h.contents.Ended(c.Content, poison.CrashID(c.Server.ID, time.UnixMilli(c.Server.Started)))
+}
+
 // isFirst reports whether a duty that needs no exclusion falls to this host.
 func (h *Host) isFirst(duty string) bool {
 	return rendezvous.Owner(duty, roster.IDs(h.roster.Listed())) == h.Settings.ID
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -53,10 +53,23 @@
 	Target string
 }
 
+// Contents decides whether what a request asks for may be sent to servers.
+type Contents interface {
+	// Admit returns the permission to send content, or an error that says that the
+	// request has not run.
+	Admit(ctx context.Context, content uint64) (poison.Admission, error)
+	// Answered takes in that a server has answered.
+	Answered(content uint64)
+	// Refuses reports whether the content is refused now.
+	Refuses(content uint64) bool
+}
+
 // Forwarder sends requests on. The fields are set before the first call.
 type Forwarder struct {
-	Client  *plain.Client
-	Dialect dialect.Dialect
+	Client *plain.Client
+	// Contents admits what callers ask for; nil admits everything.
+	Contents Contents
+	Dialect  dialect.Dialect
 	// Endings looks into servers that left a request without an answer; nil doesn't.
 	Endings   *ending.Watch
 	Inventory *inventory.Inventory
@@ -111,7 +124,7 @@
 	}
 	group, groupCtx := errgroup.WithContext(ctx)
 	x.group = group
-	final, err := x.run(groupCtx)
+	final, err := x.serve(groupCtx)
 	defer func() {
 		cancel()
 		_ = group.Wait()
@@ -130,6 +143,7 @@
 	f.metrics.count(ctx, "answered", time.Since(request.Arrived))
 	switch err := pass(w, final); {
 	case err == nil:
+		x.answered()
 		return nil
 	case errors.Is(err, errServerBroke) && ctx.Err() == nil:
 		x.logTry(ctx, answer{server: final.server, err: err, ran: kind.RanYes})
@@ -221,6 +235,30 @@
 	delete(x.unanswered, a.server.ID)
 }
 
+// serve returns the answer of a server if the content may be sent to one.
+func (x *exchange) serve(ctx context.Context) (answer, error) {
+	if x.Contents != nil {
+		admission, err := x.Contents.Admit(ctx, x.content)
+		if err != nil {
+			return answer{}, err
+		}
+		x.attempts.oneByOne = admission.OneByOne
+	}
+	return x.run(ctx)
+}
+
+// answered takes in that a server has answered whole.
+func (x *exchange) answered() {
+	if x.Contents != nil {
+		x.Contents.Answered(x.content)
+	}
+}
+
+// mayGoOn reports whether servers may end under the request that have not got it yet.
+func (x *exchange) mayGoOn() bool {
+	return x.Contents == nil || x.attempts.mayHaveRun+x.attempts.pending == 0 || !x.Contents.Refuses(x.content)
+}
+
 // run tries servers until one answers, no further try is allowed or ctx ends.
 func (x *exchange) run(ctx context.Context) (answer, error) {
 	var hedge <-chan time.Time
@@ -287,7 +325,7 @@
 
 // start begins another try if one is allowed and a server is left.
 func (x *exchange) start(ctx context.Context) {
-	if !x.attempts.mayStart() || ctx.Err() != nil {
+	if !x.attempts.mayStart() || ctx.Err() != nil || !x.mayGoOn() {
 		return
 	}
 	candidate, ok := x.attempts.choose(x.Inventory.Candidates(x.service))
--- a/internal/request/forward/policy.go
+++ b/internal/request/forward/policy.go
@@ -49,14 +49,19 @@
 	// mayHaveRun counts the tries after which the request may have run.
 	mayHaveRun int
 	notRun     int
-	pending    int
-	tried      map[string]struct{}
+	// oneByOne keeps the request at one server at a time.
+	oneByOne bool
+	pending  int
+	tried    map[string]struct{}
 }
 
 // mayStart reports whether another try is allowed. Tries that are under way
 // count as having run.
 func (a *attempts) mayStart() bool {
 	limit := max(a.route.MaxAttempts, 1)
+	if a.oneByOne && a.pending > 0 {
+		return false
+	}
 	if a.route.Repeat != config.RepeatFree {
 		// Only a refusal leaves room for another try.
 		return a.mayHaveRun+a.pending == 0 && a.notRun < limit*refusalsPerAttempt
--- a/internal/request/owner/health.go
+++ b/internal/request/owner/health.go
@@ -6,8 +6,6 @@
 	"log/slog"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/request/poison"
 )
@@ -148,13 +146,13 @@
 	}
 	w.mu.Lock()
 	suspects, started := w.suspects(current), w.started
-	known := w.crashedLife == crashID(w.server.ID, started)
-	w.crashedLife = crashID(w.server.ID, started)
+	known := w.crashedLife == poison.CrashID(w.server.ID, started)
+	w.crashedLife = poison.CrashID(w.server.ID, started)
 	w.mu.Unlock()
 	if !known {
 		limits := w.owner.poisonLimits(w.server.Service)
 		w.owner.Poison.Crashed(ctx, poison.Incident{
-			At: time.Now(), ID: crashID(w.server.ID, started), Limit: limits.CrashLimit,
+			At: time.Now(), ID: poison.CrashID(w.server.ID, started), Limit: limits.CrashLimit,
 			QuarantineFor: limits.QuarantineFor, Suspects: suspects,
 		})
 	}
@@ -197,11 +195,6 @@
 	}
 }
 
-// crashID is the same on two nodes that both saw the crash.
-func crashID(server string, started time.Time) uint64 {
-	return xxh3.HashString(server + "\x00" + started.UTC().Format(time.RFC3339Nano))
-}
-
 // crashed asks the engine a few times whether it is still the same process. An
 // engine that can't be reached at all has not been shown to have crashed.
 func (w *worker) crashed(ctx context.Context) bool {
--- a/internal/request/poison/fingerprint.go
+++ b/internal/request/poison/fingerprint.go
@@ -6,6 +6,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/zeebo/xxh3"
 )
@@ -35,6 +36,12 @@
 	return h.Sum64()
 }
 
+// CrashID returns the id of the crash of a server that had started at a time: the same on
+// all hosts that saw it.
+func CrashID(server string, started time.Time) uint64 {
+	return xxh3.HashString(server + "\x00" + started.UTC().Format(time.RFC3339Nano))
+}
+
 // Normalize returns a prompt without what callers renew with each repeat:
 // identifiers, dates and long numbers are replaced by a number sign, letters are
 // in lower case and white space is a single blank.
--- /dev/null
+++ b/internal/request/poison/instruments.go
@@ -0,0 +1,38 @@
+package poison
+
+import (
+	"context"
+	"log/slog"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// The decisions of a Ledger.
+const (
+	decisionCleared   = "cleared"
+	decisionRefused   = "refused"
+	decisionSuspected = "suspected"
+	decisionTried     = "tried"
+)
+
+// instruments count decisions on contents. The zero value counts nothing.
+type instruments struct {
+	decisions metric.Int64Counter
+}
+
+func newInstruments(logger *slog.Logger) instruments {
+	decisions, err := otel.Meter("nutmegway/poison").Int64Counter("nutmegway.poison.decisions",
+		metric.WithDescription("Decisions on contents under which backend servers ended: suspected, refused, tried or cleared."))
+	if err != nil {
+		logger.Error("metric not made", slog.Any("error", err))
+	}
+	return instruments{decisions: decisions}
+}
+
+func (i instruments) count(ctx context.Context, decision string) {
+	if i.decisions != nil {
+		i.decisions.Add(ctx, 1, metric.WithAttributes(attribute.String("decision", decision)))
+	}
+}
--- a/internal/request/poison/table.go
+++ b/internal/request/poison/table.go
@@ -78,6 +78,8 @@
 	Limit       int
 	// QuarantinedUntil is set once the content is proven.
 	QuarantinedUntil time.Time
+	// Trials counts the copies that were let through after a quarantine.
+	Trials int
 }
 
 // Table holds the records of suspicious contents. The zero value is ready. It is
@@ -186,6 +188,15 @@
 	}
 }
 
+// Forget voids all that is known of the content.
+func (t *Table) Forget(fingerprint uint64) { delete(t.records, fingerprint) }
+
+// Get returns the record of the content and whether there is one.
+func (t *Table) Get(fingerprint uint64) (Record, bool) {
+	record, ok := t.records[fingerprint]
+	return record, ok
+}
+
 // Records returns all records that still matter, by fingerprint.
 func (t *Table) Records(now time.Time) []Record {
 	t.expire(now)
@@ -202,6 +213,7 @@
 		record.Limit = max(record.Limit, other.Limit)
 		record.ClearedAt = later(record.ClearedAt, other.ClearedAt)
 		record.QuarantinedUntil = later(record.QuarantinedUntil, other.QuarantinedUntil)
+		record.Trials = max(record.Trials, other.Trials)
 		for _, crash := range other.Crashes {
 			if !slices.ContainsFunc(record.Crashes, func(c Crash) bool { return c.ID == crash.ID }) {
 				record.Crashes = append(record.Crashes, crash)
