Make samples under which engines crashed all the same

What trainers saw: on the own interface, a sample that ran at engines which crashed for another reason was given up. After three crashes its content was refused for an hour, and the runner withdrew its position for good, though all engines were back and had room.

Cause: the search for poison took samples of trainers for requests like others. What is handed in for later never crashes servers by itself.

Change: samples pass the gate, and are no suspects of a crash; they count only as company of a check that ran beside them. The runner tries them again after any failure of a server. Whether a class of requests is owed is a question to dispatch.Class.

--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -20,6 +20,10 @@
 	ClassRollout Class = "rollout"
 )
 
+// Owed reports whether requests of the class are handed in for later. They never crash
+// servers by themselves, so they are placed again however many ended under them.
+func (c Class) Owed() bool { return c == ClassRollout }
+
 // Call is one generation to be run.
 type Call struct {
 	Class    Class
--- a/internal/request/owner/owner.go
+++ b/internal/request/owner/owner.go
@@ -132,6 +132,9 @@
 // checkContent refuses content that this node knows to be worse than the sender
 // did when it got the permission to run it.
 func (o *Owner) checkContent(a Attempt) error {
+	if a.Call.Class.Owed() {
+		return nil
+	}
 	verdict := o.verdict(a)
 	switch {
 	case verdict == poison.Quarantined:
--- a/internal/request/owner/worker.go
+++ b/internal/request/owner/worker.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -234,17 +235,19 @@
 // suspects lists the contents that were in flight when the incident began, each
 // once and with the earliest position of its copies. The worker is locked.
 func (w *worker) suspects(current *incident) []poison.Suspect {
-	earliest := make(map[uint64]int, len(w.running))
+	type ran struct {
+		fingerprint uint64
+		owed        bool
+	}
+	earliest := make(map[ran]poison.Suspect, len(w.running))
 	for id, suspect := range w.running {
-		position, ok := earliest[suspect.Fingerprint]
-		if current.attempts[id] && (!ok || suspect.Position < position) {
-			earliest[suspect.Fingerprint] = suspect.Position
+		content := ran{fingerprint: suspect.Fingerprint, owed: suspect.Owed}
+		other, ok := earliest[content]
+		if current.attempts[id] && (!ok || suspect.Position < other.Position) {
+			earliest[content] = *suspect
 		}
 	}
-	list := make([]poison.Suspect, 0, len(earliest))
-	for fingerprint, position := range earliest {
-		list = append(list, poison.Suspect{Fingerprint: fingerprint, Position: position})
-	}
+	list := slices.Collect(maps.Values(earliest))
 	slices.SortFunc(list, func(a, b poison.Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return list
 }
--- a/internal/request/poison/registry.go
+++ b/internal/request/poison/registry.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -57,7 +58,7 @@
 // others, before it returns. It gives up on a node that gates a content after
 // gateReportTimeout and on others after reportTimeout.
 func (r *Registry) Crashed(ctx context.Context, incident Incident) {
-	if len(incident.Suspects) == 0 {
+	if !slices.ContainsFunc(incident.Suspects, func(s Suspect) bool { return !s.Owed }) {
 		return
 	}
 	r.mu.Lock()
@@ -67,6 +68,9 @@
 	quarantined := 0
 	fingerprints := make([]uint64, 0, len(incident.Suspects))
 	for _, suspect := range incident.Suspects {
+		if suspect.Owed {
+			continue
+		}
 		fingerprints = append(fingerprints, suspect.Fingerprint)
 		records = append(records, r.table.records[suspect.Fingerprint])
 		if r.table.Verdict(now, suspect.Fingerprint) == Quarantined {
--- a/internal/request/poison/table.go
+++ b/internal/request/poison/table.go
@@ -43,6 +43,9 @@
 // Suspect is a content that a server was running when it crashed.
 type Suspect struct {
 	Fingerprint uint64
+	// Owed content was handed in for later. It never crashes a server by itself, but
+	// others ran beside it.
+	Owed bool
 	// Position is the number of tokens that its answer had.
 	Position int
 }
@@ -97,6 +100,9 @@
 // crashed the server. A crash with several only makes each doubtful.
 func (t *Table) Crash(now time.Time, incident Incident) {
 	for _, suspect := range incident.Suspects {
+		if suspect.Owed {
+			continue
+		}
 		record := t.records[suspect.Fingerprint]
 		record.Fingerprint = suspect.Fingerprint
 		record.Limit = incident.limit()
--- a/internal/request/route/failures_test.go
+++ b/internal/request/route/failures_test.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
+	"github.com/nutmegway/nutmegway/internal/request/dispatch"
 	standin "github.com/nutmegway/nutmegway/internal/standin/engine"
 )
 
@@ -109,6 +110,48 @@
 	}
 }
 
+// TestSampleIsOwedAfterCrashes crashes engines under a sound sample of a trainer. Once
+// the engines are back it is made.
+func TestSampleIsOwedAfterCrashes(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, engines(3, &standin.Engine{TokensPerSecond: 2000}))
+	call := check("sample", "[tokens=100] assess the extension", 200)
+	call.Class = dispatch.ClassRollout
+	for round := range 4 {
+		for _, e := range c.engines {
+			e.Inject(standin.Fault{AfterTokens: 20, Count: 1, Kind: standin.FaultCrash})
+		}
+		call.Request.ID = fmt.Sprint("sample", round)
+		_, _, err := ask(t.Context(), c.nodes[round%3], call)
+		is.True(err != nil)
+		for _, e := range c.engines {
+			e.Restart()
+		}
+		time.Sleep(time.Second) // Owners of queues look again four times in it.
+	}
+	t.Log("crashes", c.crashes())
+	is.True(c.crashes() >= 3)
+	for i, n := range c.nodes {
+		call.Request.ID = fmt.Sprint("again", i)
+		text, _, err := ask(t.Context(), n, call)
+		is.NoErr(err)
+		is.Equal(text, expected(call))
+	}
+	// A check beside it that crashes engines is still found.
+	poisonous := check("poison", "[poison] filing", 100)
+	for i := range 6 {
+		poisonous.Request.ID = fmt.Sprint("poison", i)
+		_, _, err := ask(t.Context(), c.nodes[i%3], poisonous)
+		is.True(err != nil)
+		for _, e := range c.engines {
+			e.Restart()
+		}
+		time.Sleep(400 * time.Millisecond)
+	}
+	_, _, err := ask(t.Context(), c.nodes[0], poisonous)
+	is.True(kind.Is(err, kind.Quarantined))
+}
+
 // TestEngineThatStopsAnswering stops one engine without closing a connection.
 // Its answers go on elsewhere, and it gets no new work.
 func TestEngineThatStopsAnswering(t *testing.T) {
--- a/internal/request/route/stream.go
+++ b/internal/request/route/stream.go
@@ -204,7 +204,7 @@
 
 // admit asks for the permission to run the content, which it may need by now.
 func (s *stream) admit() error {
-	if s.pass.Held {
+	if s.pass.Held || s.call.Class.Owed() {
 		return nil
 	}
 	pass, err := s.dispatcher.Gate.Admit(s.ctx, s.fingerprint)
--- a/internal/rollout/runner/attempt.go
+++ b/internal/rollout/runner/attempt.go
@@ -247,7 +247,7 @@
 }
 
 // failed decides what follows on a failure: a later try, or a void position
-// for content that no backend server may run. The lock is held.
+// for a request that no backend server takes. The lock is held.
 func (r *Runner) failed(a *attempt, g *group, err error) *sample.Sample {
 	now := r.Now()
 	w := a.work
@@ -255,7 +255,7 @@
 	switch {
 	case a.doomed || e.Kind == kind.Cancelled && a.ctx.Err() != nil:
 		return nil
-	case e.Kind == kind.Quarantined || e.Kind == kind.BadRequest || e.Kind == kind.TooLarge:
+	case e.Kind == kind.BadRequest || e.Kind == kind.TooLarge:
 		delete(g.samples, w.key.Index)
 		return &sample.Sample{Group: w.key.Group, Index: w.key.Index, Reason: string(e.Kind), Void: true}
 	case e.Kind == kind.Overloaded:
