Let one copy of refused content through, and keep what was cleared clear

Found by repeating the ledger's tests 400 times under the race detector; one of them had failed once in a run of all tests.

Cause of two copies at once (TestTriesWithoutAnOutcomeBecomeRare, 7 or more of 400): a host read the record and, under a later lock, its revision. News of another host's claim in between gave its own claim the newer revision, so the store took both. Cause of content that stayed refused after an answer (TestBystanderOfCrashesIsServedAgain, 6 of 300): the echo of the host's own write brought the record back before its removal was written.

--- a/internal/request/poison/ledger.go
+++ b/internal/request/poison/ledger.go
@@ -90,6 +90,8 @@
 	l.mu.Lock()
 	verdict := l.table.Verdict(now, content)
 	record, _ := l.table.Get(content)
+	// The claim must name the revision of this record, not that of a later one.
+	condition := kv.Condition{Key: ledgerKey(content), ModRevision: l.revisions[content]}
 	l.mu.Unlock()
 	switch {
 	case verdict == Clear:
@@ -98,7 +100,7 @@
 		l.metrics.count(ctx, decisionRefused)
 		return Admission{}, refusal(record.QuarantinedUntil)
 	case !record.QuarantinedUntil.IsZero():
-		return l.try(ctx, now, record)
+		return l.try(ctx, now, record, condition)
 	default:
 		return Admission{OneByOne: true}, nil
 	}
@@ -113,12 +115,9 @@
 
 // try lets one copy through after a quarantine. The host whose write prolongs the
 // quarantine is the only one that may.
-func (l *Ledger) try(ctx context.Context, now time.Time, record Record) (Admission, error) {
+func (l *Ledger) try(ctx context.Context, now time.Time, record Record, condition kv.Condition) (Admission, error) {
 	record.Trials++
 	record.QuarantinedUntil = now.Add(firstRefusal << min(record.Trials, maxDoublings))
-	l.mu.Lock()
-	condition := kv.Condition{Key: ledgerKey(record.Fingerprint), ModRevision: l.revisions[record.Fingerprint]}
-	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	result, err := l.Store.Commit(ctx, kv.Txn{
@@ -129,7 +128,7 @@
 	if err != nil || !result.Committed {
 		return l.notTried(ctx, now, record.Fingerprint, result.Current, err)
 	}
-	l.revisions[record.Fingerprint] = result.Revision
+	l.revisions[record.Fingerprint] = max(l.revisions[record.Fingerprint], result.Revision)
 	l.table.Merge(now, []Record{record})
 	l.Logger.LogAttrs(ctx, slog.LevelInfo, "content tried again", slog.Uint64("content", record.Fingerprint),
 		slog.Int("servers-ended", len(record.Crashes)), slog.Int("trials", record.Trials),
@@ -238,8 +237,8 @@
 		delete(l.revisions, content)
 		delete(l.pending, content)
 		return
-	case revision < l.revisions[content]:
-		return // This host wrote a newer one.
+	case revision <= l.revisions[content]:
+		return // This host wrote it, or a newer one.
 	}
 	l.revisions[content] = revision
 	record, err := decodeRecord(content, value)
@@ -314,7 +313,7 @@
 		l.Logger.LogAttrs(ctx, slog.LevelInfo, "records of contents not written", slog.Int("contents", len(contents)), slog.Any("error", err))
 	case result.Committed:
 		for i, content := range contents {
-			l.revisions[content] = result.Revision
+			l.revisions[content] = max(l.revisions[content], result.Revision)
 			if txn.Writes[i].Delete {
 				delete(l.revisions, content)
 			}
