Count the failed runs of an item over batches and owners

The failed runs of an item were counted by its batch at its owner. Trainers submit groups that were not whole again under the same ids, and batches move to other owners; each time an item that always fails, or that can never be done, reached as many servers as before.

Change: the owner counts failed runs by the id of the item, over its batches; one that can't be done counts as all of a route's attempts. At three times these the item reaches no server and is listed as dead. Owners hand the counts over with the texts. A batch by itself still gives an item its attempts.

Counts are lost with an owner that is killed, but for those saved with long texts every 1.5 s. TestItemIsOwedAfterCrashes shows that an item under which four runs broke is made; it passed before, too.

--- a/internal/rollout/batch/partial.go
+++ b/internal/rollout/batch/partial.go
@@ -12,10 +12,12 @@
 // Partial is the part of an item's stream that a host had received when it gave
 // the batch up. Another server goes on after LastEvent.
 type Partial struct {
-	Events    []string `json:"events"`
-	Item      string   `json:"item"`
-	LastEvent string   `json:"last-event"`
-	Versions  []int64  `json:"versions"`
+	Events []string `json:"events"`
+	// Failures counts the runs of the item that failed at their servers.
+	Failures  int     `json:"failures,omitempty"`
+	Item      string  `json:"item"`
+	LastEvent string  `json:"last-event"`
+	Versions  []int64 `json:"versions"`
 	// Whole is set if the text is complete and only its score is missing.
 	Whole bool `json:"whole,omitempty"`
 }
--- a/internal/rollout/batchrun/batchrun_test.go
+++ b/internal/rollout/batchrun/batchrun_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -166,13 +167,18 @@
 	return b
 }
 
-// readAll reads a batch until all its results are there.
+// readAll reads the batch of sample until all its results are there.
 func readAll(t *testing.T, s *batchrun.Service) []batch.Result {
+	t.Helper()
+	return readAllOf(t, s, "x")
+}
+
+func readAllOf(t *testing.T, s *batchrun.Service, id string) []batch.Result {
 	t.Helper()
 	var all []batch.Result
 	for {
 		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
-		page, err := s.Read(ctx, "x", len(all))
+		page, err := s.Read(ctx, id, len(all))
 		cancel()
 		if err != nil {
 			t.Fatal(err)
@@ -404,3 +410,101 @@
 	is.NoErr(group.Wait())
 	is.Equal(len(engine.requests()), 0)
 }
+
+// failingEngines fail item x-i0 at each run and can never do x-i1. There are so many that
+// each run is at another one. hold may keep a run without an answer.
+func failingEngines(t *testing.T, hold func(r *http.Request)) (engines []*engineServer, answers func(item string) int) {
+	t.Helper()
+	var mu sync.Mutex
+	failed := make(map[string]int)
+	for range 12 {
+		e := newEngine(t)
+		e.handle = func(w http.ResponseWriter, r *http.Request) bool {
+			if hold(r); r.Context().Err() != nil {
+				return true
+			}
+			item, status := r.Header.Get("X-Request-Id"), http.StatusInternalServerError
+			if item == "x-i1" {
+				status = http.StatusUnprocessableEntity
+			}
+			mu.Lock()
+			failed[item]++
+			mu.Unlock()
+			w.WriteHeader(status)
+			return true
+		}
+		engines = append(engines, e)
+	}
+	return engines, func(item string) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return failed[item]
+	}
+}
+
+// TestItemThatAlwaysFailsIsNotRunForEver submits the same items in one batch after the
+// other, as trainers do with groups that were not whole.
+func TestItemThatAlwaysFailsIsNotRunForEver(t *testing.T) {
+	is := is.New(t)
+	engines, answers := failingEngines(t, func(*http.Request) {})
+	h := newHost(t, "a", &kvmemory.Store{}, engines...)
+	for n := range 5 {
+		b := sample(2)
+		b.ID = fmt.Sprintf("x%d", n)
+		is.NoErr(h.service.Submit(t.Context(), b))
+		for _, r := range readAllOf(t, h.service, b.ID) {
+			is.Equal(r.State, batch.StateDead)
+		}
+	}
+	is.Equal(answers("x-i0"), 9) // three times what the route allows
+	is.Equal(answers("x-i1"), 3)
+}
+
+// TestFailedRunsAreKnownToTheNextOwner hands a batch over whose item has failed once and
+// is at an engine again.
+func TestFailedRunsAreKnownToTheNextOwner(t *testing.T) {
+	is := is.New(t)
+	again := make(chan struct{})
+	var runs atomic.Int32
+	engines, answers := failingEngines(t, func(r *http.Request) {
+		if runs.Add(1) == 2 {
+			close(again)
+			<-r.Context().Done()
+		}
+	})
+	store := &kvmemory.Store{}
+	first := newHost(t, "a", store, engines...)
+	is.NoErr(first.service.Submit(t.Context(), sample(1)))
+	<-again
+	first.stop()
+	is.Equal(answers("x-i0"), 1)
+	second := newHost(t, "b", store, engines...)
+	for n := range 4 {
+		b := sample(1)
+		if n > 0 {
+			b.ID = fmt.Sprintf("x%d", n)
+			is.NoErr(second.service.Submit(t.Context(), b))
+		}
+		readAllOf(t, second.service, b.ID)
+	}
+	is.Equal(answers("x-i0"), 9)
+}
+
+// TestItemIsOwedAfterCrashes breaks its first runs at each engine.
+func TestItemIsOwedAfterCrashes(t *testing.T) {
+	is := is.New(t)
+	engines := []*engineServer{newEngine(t), newEngine(t)}
+	for _, e := range engines {
+		e.handle = func(http.ResponseWriter, *http.Request) bool {
+			if len(e.requests()) <= 2 {
+				panic(http.ErrAbortHandler)
+			}
+			return false
+		}
+	}
+	h := newHost(t, "a", &kvmemory.Store{}, engines...)
+	is.NoErr(h.service.Submit(t.Context(), sample(1)))
+	results := readAll(t, h.service)
+	is.Equal(results[0].State, batch.StateCompleted)
+	is.Equal(results[0].Text, text("x-i0"))
+}
--- a/internal/rollout/batchrun/list.go
+++ b/internal/rollout/batchrun/list.go
@@ -190,19 +190,21 @@
 	}
 }
 
-// partials returns the texts of unfinished items with at least so many events, and
-// those that lack only their score.
+// partials returns the texts of unfinished items with at least so many events, those
+// that lack only their score, and what is known of items that failed.
 func (x *run) partials(events int) []batch.Partial {
 	x.runner.mu.Lock()
 	defer x.runner.mu.Unlock()
 	var partials []batch.Partial
 	for _, s := range x.items {
-		if !s.done && (s.whole || len(s.events) >= events) {
-			partials = append(partials, batch.Partial{
-				Events: slices.Clone(s.events), Item: s.item.ID, LastEvent: s.last, Versions: slices.Clone(s.versions),
-				Whole: s.whole,
-			})
+		failures := x.runner.failed.of(s.item.ID)
+		if s.done || failures == 0 && !s.whole && len(s.events) < events {
+			continue
 		}
+		partials = append(partials, batch.Partial{
+			Events: slices.Clone(s.events), Failures: failures, Item: s.item.ID, LastEvent: s.last,
+			Versions: slices.Clone(s.versions), Whole: s.whole,
+		})
 	}
 	return partials
 }
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -106,6 +106,7 @@
 		}
 	}
 	for _, p := range partials {
+		r.failed.raise(p.Item, p.Failures)
 		// A key of an earlier save may hold a shorter text of the same item.
 		if i, ok := x.byID[p.Item]; ok && !x.items[i].done && len(p.Events) > len(x.items[i].events) {
 			x.items[i].events, x.items[i].last, x.items[i].versions = p.Events, p.LastEvent, p.Versions
@@ -141,6 +142,10 @@
 		if s.done || s.running || s.whole {
 			continue
 		}
+		if x.runner.failed.of(s.item.ID) >= failedFactor*max(route.MaxAttempts, 1) {
+			x.finishDead(s, "it failed at each run")
+			continue
+		}
 		demand := x.demand(s, route.SingleVersion)
 		engine, ok := placing.Choose(candidates, demand)
 		if !ok {
@@ -284,6 +289,7 @@
 		x.complete(s, "")
 	case generation.OutcomeFailed:
 		s.failures++
+		x.runner.failed.add(s.item.ID, 1)
 		s.avoid = engine.ID
 		// An engine that fails at once is the emptiest and would draw all items.
 		inv.Failed(engine.ID)
@@ -291,6 +297,7 @@
 			x.finish(s, batch.Result{Item: s.item.ID, State: batch.StateDead})
 		}
 	case generation.OutcomeImpossible:
+		x.runner.failed.add(s.item.ID, max(route.MaxAttempts, 1))
 		x.finish(s, batch.Result{Item: s.item.ID, State: batch.StateDead})
 	case generation.OutcomeNotRun:
 		inv.Full(engine.ID, fullWait)
@@ -344,13 +351,18 @@
 		if s.done {
 			continue
 		}
-		x.runner.Logger.Info("item given up", slog.String("item", s.item.ID),
-			slog.String("batch", x.batch.ID), slog.String("reason", reason))
-		x.finish(s, batch.Result{Item: s.item.ID, State: batch.StateDead})
+		x.finishDead(s, reason)
 	}
 	x.urgent = urgencyStep
 }
 
+// finishDead lists an item as dead without another run. The runner's mutex is held.
+func (x *run) finishDead(s *itemState, reason string) {
+	x.runner.Logger.Info("item given up", slog.String("item", s.item.ID),
+		slog.String("batch", x.batch.ID), slog.String("reason", reason))
+	x.finish(s, batch.Result{Item: s.item.ID, State: batch.StateDead})
+}
+
 // paceTracker follows the intervals between the events of one run.
 type paceTracker struct {
 	intervals int
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -58,6 +58,7 @@
 	mu       sync.Mutex
 	closed   closedResults
 	draining bool
+	failed   failedItems
 	// finishing is set once this host takes no new batches.
 	finishing bool
 	group     *errgroup.Group
--- a/internal/rollout/batchrun/service.go
+++ b/internal/rollout/batchrun/service.go
@@ -450,7 +450,12 @@
 	if givenUp || s.returned(head.Owner) || s.hasEnded(head.Owner) {
 		return partials
 	}
-	return slices.DeleteFunc(partials, func(p batch.Partial) bool { return !p.Whole })
+	for i, p := range partials {
+		if !p.Whole {
+			partials[i] = batch.Partial{Failures: p.Failures, Item: p.Item}
+		}
+	}
+	return partials
 }
 
 // adopt runs a batch, unless it was ended or claimed while it was loaded.
