Show that plain services of the own interface have no guard yet

Not mended here: its hosts share what they know over peers, its servers tell no start by which one end differs from the next, and long bodies pass through unread.

--- a/internal/request/plainproxy/proxy_test.go
+++ b/internal/request/plainproxy/proxy_test.go
@@ -326,3 +326,42 @@
 		is.Equal(reused, i > 0) // the server did not end the connection
 	}
 }
+
+// TestRequestThatEndsPlainServersIsNotSentOn repeats a request under which each server
+// ends, beside sound ones.
+func TestRequestThatEndsPlainServersIsNotSentOn(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 4)
+	get := func(path string) int {
+		response, err := http.Get(b.url + path)
+		is.NoErr(err)
+		_, _ = io.Copy(io.Discard, response.Body)
+		is.NoErr(response.Body.Close())
+		return response.StatusCode
+	}
+	crashes := func() int {
+		total := 0
+		for _, s := range b.plains {
+			total += s.Truth().Crashes
+			s.Restart()
+		}
+		return total
+	}
+	for crashes() < 3 {
+		is.True(get("/plots/[poison]") != http.StatusOK)
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+	before, served := crashes(), 0
+	for range 20 {
+		is.True(get("/plots/[poison]") != http.StatusOK)
+		if get("/plots/7") == http.StatusOK {
+			served++
+		}
+		crashes()
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Logf("servers ended %d times before and %d times after, %d of 20 other requests served", before, crashes()-before, served)
+	is.True(crashes()-before <= 3)
+	is.Equal(served, 20)
+}
