--- a/cmd/nutmegway/story_test.go
+++ b/cmd/nutmegway/story_test.go
@@ -33,7 +33,9 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// Connections that others open take ports of 127.0.0.1 between this and the use of
+	// the address.
+	listener, err := net.Listen("tcp", "127.0.9.2:0")
 	if err != nil {
 		t.Fatal(err)
 	}
