Look a second longer at servers that are back at once

Cause: a server whose process ended and is back within 50 ms accepts the probe's connection, and counted as alive.

Change: the entry of a server that listens is looked at for one more second: gone or started anew by then, it has ended.

Evidence: the case "back at once" of TestEvidenceOfAnEnd fails before.

--- a/internal/backend/ending/ending.go
+++ b/internal/backend/ending/ending.go
@@ -26,6 +26,9 @@
 	// inquiryTime is longer than the three reports after which the platform takes a
 	// silent server's entry away.
 	inquiryTime = 6 * time.Second
+	// restartTime is how long the entry of a server that still listens is looked at. A
+	// process that is back at once has told the platform by then, and hosts have heard.
+	restartTime = time.Second
 	// lookInterval is the time between two looks at the server's entry.
 	lookInterval = 100 * time.Millisecond
 	// probes are made probeAgain apart: the listener of a process that ends may outlive
@@ -173,20 +176,18 @@
 	ctx, cancel := context.WithTimeout(ctx, inquiryTime)
 	defer cancel()
 	// A server that is merely slow is not worth a connection.
-	for again := range probes {
-		if !c.Broken {
-			break
-		}
-		switch w.Prober.Probe(ctx, c.Server.Address) {
-		case probe.Nobody:
-			return evidenceRefused
-		case probe.Listens:
-			if again == probes-1 {
-				return ""
+	if c.Broken {
+		last := probe.NoAnswer
+		for range probes {
+			if last = w.Prober.Probe(ctx, c.Server.Address); last == probe.Nobody {
+				return evidenceRefused
 			}
-		case probe.NoAnswer:
+			wait.For(ctx, probeAgain)
+		}
+		if last == probe.Listens {
+			ctx, cancel = context.WithTimeout(ctx, restartTime)
+			defer cancel()
 		}
-		wait.For(ctx, probeAgain)
 	}
 	for ctx.Err() == nil {
 		now, known := w.Servers.Get(c.Server.ID)
--- a/internal/backend/ending/ending_test.go
+++ b/internal/backend/ending/ending_test.go
@@ -49,7 +49,9 @@
 		silent bool
 		// probe lists what probes find.
 		probe []probe.Finding
-		// later is what becomes of the server's entry two seconds later; nil nothing.
+		// soon is what becomes of the server's entry half a second later, and later two
+		// seconds later; nil nothing.
+		soon   func(*inventory.Inventory)
 		later  func(*inventory.Inventory)
 		ended  bool
 		probes int
@@ -57,6 +59,7 @@
 		"nobody listens":                {probe: []probe.Finding{probe.Nobody}, ended: true, probes: 1},
 		"listener outlives connections": {probe: []probe.Finding{probe.Listens, probe.Nobody}, ended: true, probes: 2},
 		"it lives, and ends later":      {probe: []probe.Finding{probe.Listens}, later: lapses, probes: 2},
+		"back at once":                  {probe: []probe.Finding{probe.Listens}, soon: restarts, ended: true, probes: 2},
 		"dark":                          {probe: []probe.Finding{probe.NoAnswer}, probes: 2},
 		"dark, and its entry lapses":    {probe: []probe.Finding{probe.NoAnswer}, later: lapses, ended: true, probes: 2},
 		"dark, and back under its id":   {probe: []probe.Finding{probe.NoAnswer}, later: restarts, ended: true, probes: 2},
@@ -81,6 +84,9 @@
 				for range 3 {
 					w.Ask(ending.Case{Broken: !c.silent, Content: 7, Server: server})
 				}
+				if c.soon != nil {
+					time.AfterFunc(time.Second/2, func() { c.soon(servers) })
+				}
 				if c.later != nil {
 					time.AfterFunc(2*time.Second, func() { c.later(servers) })
 				}
