Let the soak judge requests that end their servers

Each cycle of the soak has a request under which plain servers end, repeated five times a second under new ids at any host.

Two planted cases: a fourth repeat is caught, one of a cut host isn't.

--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -118,7 +118,7 @@
 }
 
 // open starts the platform's stand-in and the processes.
-func (f *fleet) open(ctx context.Context, group *errgroup.Group, s Soak) error {
+func (f *fleet) open(ctx context.Context, group *errgroup.Group, s *run) error {
 	store, err := listen(ctx, group, http.HandlerFunc(f.serveStore))
 	if err != nil {
 		return err
@@ -143,14 +143,18 @@
 		if err := server.Start(); err != nil {
 			return err
 		}
-		f.backends = append(f.backends, &backend{Server: server, link: link})
+		b := &backend{Server: server, link: link}
+		if i >= engineCount {
+			server.OnPoison = func() { s.onPoison(ctx, group, b) }
+		}
+		f.backends = append(f.backends, b)
 	}
 	for i := range s.Processes {
 		link, err := linkTo(ctx, group, store)
 		if err != nil {
 			return err
 		}
-		n, err := newNode(s, i, link)
+		n, err := newNode(s.Soak, i, link)
 		if err != nil {
 			return err
 		}
--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -22,6 +22,9 @@
 	contact time.Duration
 	// loss is how soon a request may be cut that crossed the close of its connection.
 	loss time.Duration
+	// repeats is how many requests may reach servers after others like them have ended
+	// three of them.
+	repeats int
 	// regress is how late an older configuration may still be met.
 	regress time.Duration
 	// settle is the time after which an accepted batch is known everywhere.
@@ -35,7 +38,7 @@
 func platformLimits() limits {
 	return limits{
 		apply: 3 * time.Second, unstable: 6 * time.Second, cancel: 3 * time.Second, contact: 4 * time.Second,
-		loss: 200 * time.Millisecond, regress: 250 * time.Millisecond, settle: time.Second, spacing: orderSpacing, thaw: 300 * time.Millisecond,
+		loss: 200 * time.Millisecond, regress: 250 * time.Millisecond, repeats: 3, settle: time.Second, spacing: orderSpacing, thaw: 300 * time.Millisecond,
 	}
 }
 
@@ -57,6 +60,7 @@
 	RunsToTheEnd    = "batches-run-to-the-end"
 	BodiesKept      = "bodies-kept"
 	ScoresTrue      = "scores-true"
+	PoisonStopped   = "poison-stopped"
 )
 
 // judge returns one finding for each promise.
@@ -64,7 +68,7 @@
 	return []ledger.Finding{
 		r.answersWhole(), r.notRunIsTrue(), r.atMostOnce(), r.onlyAsked(), r.stopsCutNothing(l), r.configInForce(l), r.oneGiver(l),
 		r.batchesKept(l), r.refusedDontRun(), r.positionsFixed(), r.textsWhole(), r.versionsTrue(), r.endsKept(l),
-		r.runsToTheEnd(), r.bodiesKept(), r.scoresTrue(),
+		r.runsToTheEnd(), r.bodiesKept(), r.scoresTrue(), r.poisonStopped(l),
 	}
 }
 
@@ -237,3 +241,37 @@
 		return suspends(d.action) && !d.until.IsZero() && !at.Before(d.until) && at.Before(d.until.Add(thaw))
 	})
 }
+
+// poisonStopped judges requests that end their servers, from the contact time after the
+// third end on, at hosts that nothing befell meanwhile.
+func (r *records) poisonStopped(l limits) ledger.Finding {
+	f := ledger.Finding{Invariant: PoisonStopped, Timed: true}
+	ends := map[string][]time.Time{}
+	for _, run := range r.runs {
+		if strings.Contains(run.Body, platformtest.PoisonMark) {
+			ends[run.Body] = append(ends[run.Body], run.Started)
+		}
+	}
+	runs := r.runsByID()
+	late := map[string]int{}
+	for _, q := range r.requests {
+		times := ends[q.body]
+		if len(times) < poisonLimit {
+			continue
+		}
+		slices.SortFunc(times, time.Time.Compare)
+		third := times[poisonLimit-1]
+		if q.sent.Before(third.Add(l.contact)) || !r.calm(q.host, q.sent.Add(-l.contact), q.sent) {
+			continue
+		}
+		if len(runs[q.id]) > 0 {
+			late[q.body]++
+		}
+		f.Checkf(len(runs[q.id]) == 0 || late[q.body] <= l.repeats, "request %s reached %d servers, %s after %q had ended the third",
+			q.id, len(runs[q.id]), q.sent.Sub(third), q.body)
+	}
+	return f
+}
+
+// poisonLimit is the number of servers that a content may end.
+const poisonLimit = 3
--- a/internal/lab/soak/judge_test.go
+++ b/internal/lab/soak/judge_test.go
@@ -24,6 +24,12 @@
 			Versions: map[int64]bool{3: true}, Whole: at(started + 0.5),
 		}
 	}
+	poison := func(id string, sent float64) request {
+		return request{
+			answer: platformtest.Answer{Status: http.StatusBadGateway}, body: platformtest.PoisonMark, ended: at(sent), host: 1, id: id,
+			method: "POST", sent: at(sent), target: "/f/p",
+		}
+	}
 	answered := platformtest.Answer{Body: []byte(platformtest.PlainAnswer("q1", "POST", "/n/q1", "b")), Stamp: "s", Status: http.StatusOK}
 	result := platformtest.Result{
 		Completed: true, Item: "i1", Score: "s.ri1", Text: platformtest.ItemText("i1", "2"), Versions: []int64{3},
@@ -46,10 +52,14 @@
 		requests: []request{
 			{answer: answered, body: "b", ended: at(10.1), host: 0, id: "q1", method: "POST", repeat: platformtest.RepeatNever, sent: at(10), target: "/n/q1"},
 			{answer: platformtest.Answer{Status: http.StatusServiceUnavailable}, ended: at(10.1), host: 1, id: "q2", method: "POST", sent: at(10), target: "/n/q2"},
+			poison("p1", 20), poison("p2", 20.1), poison("p3", 20.2), poison("p4", 30), poison("p5", 31), poison("p6", 32), poison("p7", 33),
 		},
 		runs: []platformtest.Run{
 			ran("q1", "/n/q1", "b", 10), ran("i1", "/b/x", "2", 9), ran("i2", "/b/x", "2", 9),
 			ran("ri1", "/f/r", "b", 9.5),
+			ran("p1", "/f/p", platformtest.PoisonMark, 20), ran("p2", "/f/p", platformtest.PoisonMark, 20.1),
+			ran("p3", "/f/p", platformtest.PoisonMark, 20.2), ran("p4", "/f/p", platformtest.PoisonMark, 30),
+			ran("p5", "/f/p", platformtest.PoisonMark, 31), ran("p6", "/f/p", platformtest.PoisonMark, 32),
 		},
 		stops: []stop{{at: at(10.05), ended: at(12), host: 0}},
 		submissions: map[string]*submission{
@@ -125,6 +135,9 @@
 		"a reward after the end": {EndsKept, func(r *records) {
 			r.runs = append(r.runs, platformtest.Run{Body: "b", ID: "ri2", Method: "POST", Started: at(16), Target: "/f/r"})
 		}},
+		"a fourth repeat of what ends servers": {PoisonStopped, func(r *records) {
+			r.runs = append(r.runs, platformtest.Run{Body: platformtest.PoisonMark, ID: "p7", Method: "POST", Started: at(33), Target: "/f/p"})
+		}},
 		"a body that is gone": {BodiesKept, func(r *records) { r.bodies[0].status = http.StatusNotFound }},
 	}
 	for name, c := range cases {
@@ -177,6 +190,9 @@
 		"an order long after a thaw": {disturbance{action: ActionHostPause, host: 0, from: at(1), until: at(2)}, OneGiver, true, func(r *records) {
 			r.orders[1].At = at(3)
 		}},
+		"a cut host may repeat what ends servers": {disturbance{host: 1, from: at(28), until: at(29)}, PoisonStopped, false, func(r *records) {
+			r.runs = append(r.runs, platformtest.Run{Body: platformtest.PoisonMark, ID: "p7", Method: "POST", Started: at(33), Target: "/f/p"})
+		}},
 		"no trouble excuses a second run": {disturbance{host: everyone, from: at(0), until: at(30)}, AtMostOnce, true, func(r *records) {
 			r.runs = append(r.runs, r.runs[0])
 		}},
--- a/internal/lab/soak/player.go
+++ b/internal/lab/soak/player.go
@@ -23,6 +23,8 @@
 	troubleCount = 8
 	// silentTime is added to a pause: the product takes a host for dead sooner.
 	silentTime = 1500 * time.Millisecond
+	// poisonDown is how long a server is away that ended under a request.
+	poisonDown = 400 * time.Millisecond
 	// loseEach is which of the store's calls loses its answer: one of so many.
 	loseEach = 3
 )
@@ -212,15 +214,31 @@
 		r.troubleLink(ctx, b.link, servers, event)
 		return nil
 	}
-	defer r.book.disturb(event.Action, servers)()
+	return r.crash(ctx, b, event.Last)
+}
+
+// crash ends a server and starts it again.
+func (r *run) crash(ctx context.Context, b *backend, last time.Duration) error {
+	defer r.book.disturb(ActionServerCrash, servers)()
 	b.link.Set(faultproxy.Fault{Refuse: true})
 	b.link.ResetAll()
 	b.Stop()
-	wait.For(ctx, event.Last) // The server comes back in any case.
+	wait.For(ctx, last) // The server comes back in any case.
 	b.link.Set(faultproxy.Fault{})
 	return b.Start()
 }
 
+// onPoison ends a server under a request, unless another event has taken it.
+func (r *run) onPoison(ctx context.Context, group *errgroup.Group, b *backend) {
+	if !b.busy.TryLock() {
+		return
+	}
+	group.Go(func() error {
+		defer b.busy.Unlock()
+		return r.crash(ctx, b, poisonDown)
+	})
+}
+
 func (r *run) troubleStore(ctx context.Context, event chaos.Event) {
 	memory := &r.store.Memory
 	switch event.Action {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -93,7 +93,7 @@
 	if err := r.configure(1); err != nil {
 		return err
 	}
-	if err := r.open(ctx, group, r.Soak); err != nil {
+	if err := r.open(ctx, group, r); err != nil {
 		return err
 	}
 	if err := r.allReady(ctx); err != nil {
--- a/internal/lab/soak/workload.go
+++ b/internal/lab/soak/workload.go
@@ -44,6 +44,8 @@
 	editEvery  = 2500 * time.Millisecond
 	probeEvery = 250 * time.Millisecond
 	readEvery  = 100 * time.Millisecond
+	// poisonEvery is the time between two repeats of a request that ends its servers.
+	poisonEvery = 200 * time.Millisecond
 	// tryEvery is the time between two batches that are sent to one host only.
 	tryEvery = 400 * time.Millisecond
 )
@@ -80,6 +82,12 @@
 		repeat(r.read)
 	}
 	repeat(r.tryOnce)
+	began := time.Now()
+	repeat(func(ctx context.Context) error {
+		r.poison(ctx, int(time.Since(began)/cycleTime))
+		wait.For(busy, poisonEvery) // The loop sees the end.
+		return nil
+	})
 	for _, n := range r.nodes {
 		repeat(func(ctx context.Context) error {
 			r.probe(ctx, n)
@@ -111,10 +119,22 @@
 	ctx, cancel := context.WithTimeout(ctx, routeTimeout)
 	defer cancel()
 	id := r.newID("request")
-	q := request{
-		body: "body of " + id, host: n.number, id: id, method: http.MethodPost, repeat: repeat, sent: time.Now(), target: prefix + id + "?n=%2F",
-	}
-	answer, err := r.caller.Send(ctx, n.settings.CallerAddress, q.method, q.target, id, []byte(q.body))
+	return r.sendAs(ctx, n, request{body: "body of " + id, id: id, repeat: repeat, target: prefix + id + "?n=%2F"})
+}
+
+// poison repeats a request that ends each server which runs it, under a new id.
+func (r *run) poison(ctx context.Context, number int) {
+	ctx, cancel := context.WithTimeout(ctx, routeTimeout)
+	defer cancel()
+	r.sendAs(ctx, r.anyNode(), request{
+		body: fmt.Sprint(platformtest.PoisonMark, number), id: r.newID("poison"), repeat: platformtest.RepeatFree,
+		target: freePrefix + "poison",
+	})
+}
+
+func (r *run) sendAs(ctx context.Context, n *node, q request) (platformtest.Answer, bool) {
+	q.host, q.method, q.sent = n.number, http.MethodPost, time.Now()
+	answer, err := r.caller.Send(ctx, n.settings.CallerAddress, q.method, q.target, q.id, []byte(q.body))
 	q.answer, q.broken, q.ended = answer, err != nil, time.Now()
 	r.book.add(func(records *records) { records.requests = append(records.requests, q) })
 	return answer, err != nil
