Give servers that say in an answer that they leave nothing new

Cause: a server that leaves says so in all its answers, and nothing read it. Hosts went on using it until its entry said draining, which some never do.

Change: the adapter names the header; the client of all requests to servers reads it from each answer. That start of the server is no candidate from then on, also against the store, and is asked about again when a request has its connection. The last servers of a service are used until the drain bound, then requests are refused at once. Connections are closed once idle. Other hosts hear by one key, unless the server is listed as draining by then.

--- a/internal/backend/dialect/dialect.go
+++ b/internal/backend/dialect/dialect.go
@@ -1,6 +1,8 @@
 // Package dialect names the headers that a deployment's backend servers use.
 package dialect
 
+import "net/http"
+
 // Dialect holds header names. An empty name means that the servers know no
 // such header.
 type Dialect struct {
@@ -8,6 +10,8 @@
 	BudgetMillis string
 	// ExpectServer carries the id of the only server that may run the request.
 	ExpectServer string
+	// Leaving marks the answers of a server that leaves.
+	Leaving string
 	// Load is an answer's count of running and waiting requests and slots,
 	// separated by commas.
 	Load string
@@ -20,3 +24,12 @@
 	// WeightVersion is an answer's weight version, also in its events.
 	WeightVersion string
 }
+
+// IsLeaving reports whether an answer with the header says that its server leaves.
+func (d Dialect) IsLeaving(header http.Header) bool {
+	if d.Leaving == "" {
+		return false
+	}
+	value := header.Get(d.Leaving)
+	return value != "" && value != "0"
+}
--- a/internal/backend/generation/generation.go
+++ b/internal/backend/generation/generation.go
@@ -50,6 +50,8 @@
 	Body    []byte
 	// Budget is how long the result is of use; zero if unknown.
 	Budget time.Duration
+	// Check is asked before anything is sent; see plain.Request.
+	Check func() error
 	// EventWait is the longest time without an event, and FirstWait that before
 	// the first one.
 	EventWait time.Duration
@@ -180,7 +182,8 @@
 	}
 	return plain.Request{
 		Body: bytes.NewReader(r.Body), Header: header, Host: r.Host, Length: int64(len(r.Body)),
-		Method: http.MethodPost, RequestID: r.ID, Target: r.Target,
+		Check:  r.Check,
+		Method: http.MethodPost, RequestID: r.ID, Server: r.Server, Target: r.Target,
 	}
 }
 
--- a/internal/backend/inventory/inventory.go
+++ b/internal/backend/inventory/inventory.go
@@ -7,6 +7,9 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/nutmegway/nutmegway/internal/base/elapsed"
+	"github.com/nutmegway/nutmegway/internal/base/kind"
 )
 
 const (
@@ -16,6 +19,13 @@
 	suspectMax   = 4 * time.Second
 	// reportAge is how long a load that a server told is counted.
 	reportAge = time.Second
+	// defaultDrainBound is within what time a leaving server gets no new work if the
+	// deployment names none.
+	defaultDrainBound = 2 * time.Second
+	// maxFarewells bounds the servers that have said that they leave, and farewellKept
+	// is how long the word of one is kept whose entry is gone.
+	maxFarewells = 4096
+	farewellKept = time.Minute
 )
 
 // Server is what the platform says of one backend server.
@@ -62,9 +72,22 @@
 	versions map[string]int64
 }
 
+// farewell is the word of a server that it leaves. The platform's list may say otherwise
+// for a while, or for good.
+type farewell struct {
+	heard elapsed.Mark
+	// started is the start of the server that said so; startUnknown if it isn't known.
+	started int64
+}
+
+const startUnknown = -1
+
 // Inventory holds the servers. It is safe for concurrent use. The zero value is
 // ready.
 type Inventory struct {
+	// DrainBound is how long a service all of whose servers leave still uses them; zero
+	// means two seconds.
+	DrainBound time.Duration
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 
@@ -72,8 +95,11 @@
 	// byService holds the ids of each service's servers, ascending.
 	byService map[string][]string
 	changed   chan struct{}
+	farewells map[string]farewell
 	servers   map[string]Server
 	states    map[string]*state
+	// swept is when farewells were last looked through.
+	swept time.Time
 }
 
 // Set adds or replaces a server.
@@ -87,6 +113,12 @@
 	if known && before.Started != s.Started {
 		delete(v.states, s.ID)
 	}
+	if said, ok := v.farewells[s.ID]; ok && said.started != s.Started {
+		delete(v.farewells, s.ID)
+		if said.started == startUnknown {
+			v.farewells[s.ID] = farewell{heard: said.heard, started: s.Started}
+		}
+	}
 	if st := v.states[s.ID]; st != nil {
 		st.versions = nil
 	}
@@ -155,18 +187,116 @@
 	}
 }
 
+// Leaves notes that a server has said that it leaves, and reports whether this is news.
+// started is the start of the server if it isn't the one that is known, else zero.
+func (v *Inventory) Leaves(id string, started int64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s, known := v.servers[id]
+	switch {
+	case started == 0 && known:
+		started = s.Started
+	case started == 0:
+		started = startUnknown
+	case known && started != s.Started:
+		return false // It has started again since.
+	}
+	if _, ok := v.farewells[id]; ok {
+		return false
+	}
+	v.boundFarewells()
+	if v.farewells == nil {
+		v.farewells = make(map[string]farewell)
+	}
+	v.farewells[id] = farewell{heard: elapsed.Now(v.Now), started: started}
+	v.notify()
+	return true
+}
+
+// boundFarewells forgets the words of servers that are gone, and the oldest one if there
+// are too many. v.mu is held.
+func (v *Inventory) boundFarewells() {
+	if len(v.farewells) < maxFarewells && v.now().Sub(v.swept) < farewellKept {
+		return
+	}
+	v.swept = v.now()
+	oldest, longest := "", time.Duration(-1)
+	for id, said := range v.farewells {
+		since := said.heard.Since(v.Now)
+		if _, known := v.servers[id]; !known && since > farewellKept {
+			delete(v.farewells, id)
+			continue
+		}
+		if since > longest {
+			oldest, longest = id, since
+		}
+	}
+	if len(v.farewells) >= maxFarewells {
+		delete(v.farewells, oldest)
+	}
+}
+
+// IsLeaving reports whether the server has said that it leaves, there or in its entry.
+func (v *Inventory) IsLeaving(id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_, said := v.farewells[id]
+	return said || v.servers[id].Draining
+}
+
+// Check returns an error if a server takes no new work. It is asked just before a request
+// is sent: it may have waited for its connection since the server was chosen, or the host
+// stood still.
+func (v *Inventory) Check(id string) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if s, known := v.servers[id]; known && slices.Contains(v.open(s.Service), id) {
+		return nil
+	}
+	return kind.New(kind.Unavailable, "backend server %q leaves or is gone", id).WithRan(kind.RanNo)
+}
+
+// open returns the ids of the servers of a service that take new work. If all that don't
+// drain have said that they leave, these still do, until the drain bound after they said
+// so. v.mu is held.
+func (v *Inventory) open(service string) []string {
+	ids := v.byService[service]
+	open := make([]string, 0, len(ids))
+	var last []string
+	for _, id := range ids {
+		if v.servers[id].Draining {
+			continue
+		}
+		said, leaves := v.farewells[id]
+		switch {
+		case !leaves:
+			open = append(open, id)
+		case said.heard.Since(v.Now) < v.drainBound():
+			last = append(last, id)
+		}
+	}
+	if len(open) == 0 {
+		return last
+	}
+	return open
+}
+
+func (v *Inventory) drainBound() time.Duration {
+	if v.DrainBound > 0 {
+		return v.DrainBound
+	}
+	return defaultDrainBound
+}
+
 // Candidates returns the servers of a service that take new work, by id.
 func (v *Inventory) Candidates(service string) []Candidate {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.now()
-	ids := v.byService[service]
+	ids := v.open(service)
 	candidates := make([]Candidate, 0, len(ids))
 	for _, id := range ids {
 		s := v.servers[id]
-		if s.Draining {
-			continue
-		}
 		c := Candidate{Server: s, Reported: -1}
 		if st := v.states[id]; st != nil {
 			c.InFlight, c.Pace, c.Suspect = st.inFlight, st.pace, now.Before(st.suspectUntil)
--- a/internal/backend/inventory/inventory_test.go
+++ b/internal/backend/inventory/inventory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -169,3 +170,41 @@
 	v.Remove("unknown")
 	is.Equal(len(ids("other")), 0)
 }
+
+// TestFarewells has servers that say themselves that they leave.
+func TestFarewells(t *testing.T) {
+	is := is.New(t)
+	v, c := newInventory(inventory.Server{ID: "a", Service: "s", Started: 1}, inventory.Server{ID: "b", Service: "s", Started: 1})
+	v.DrainBound = 3 * time.Second
+	is.True(v.Leaves("a", 0))
+	is.True(!v.Leaves("a", 0)) // no news
+	is.Equal(ids(v.Candidates("s")), []string{"b"})
+	is.True(v.Check("a") != nil)
+	v.Remove("a")
+	v.Set(inventory.Server{ID: "a", Service: "s", Started: 1})
+	is.Equal(ids(v.Candidates("s")), []string{"b"}) // its entry lapsed and is back
+	is.True(v.Leaves("b", 1))
+	is.Equal(ids(v.Candidates("s")), []string{"a", "b"}) // all leave, and someone has to
+	c.after(3 * time.Second)
+	is.Equal(len(v.Candidates("s")), 0)
+	is.True(v.Check("b") != nil)
+	v.Set(inventory.Server{ID: "b", Service: "s", Started: 2})
+	is.Equal(ids(v.Candidates("s")), []string{"b"}) // it has started again
+	is.True(!v.Leaves("b", 1))                      // old news
+	is.NoErr(v.Check("b"))
+}
+
+// TestFarewellsAreBounded hears of far more servers than are kept.
+func TestFarewellsAreBounded(t *testing.T) {
+	is := is.New(t)
+	v, c := newInventory(inventory.Server{ID: "a", Service: "s", Started: 1}, inventory.Server{ID: "b", Service: "s", Started: 1})
+	v.Leaves("a", 0)
+	c.after(2 * time.Second)
+	for n := range 4095 {
+		v.Leaves(strconv.Itoa(n), 1)
+	}
+	is.Equal(ids(v.Candidates("s")), []string{"b"})
+	c.after(2 * time.Minute)
+	v.Leaves("gone", 1)
+	is.Equal(ids(v.Candidates("s")), []string{"b"}) // those whose entries are gone went first
+}
--- a/internal/backend/plain/client.go
+++ b/internal/backend/plain/client.go
@@ -38,6 +38,9 @@
 type Request struct {
 	// Body is nil when there is none. It is not closed.
 	Body io.Reader
+	// Check is asked when the connection is there, before anything is sent. Its error
+	// keeps the request from being sent; nil sends it.
+	Check func() error
 	// Header holds the caller's headers. It is not changed.
 	Header http.Header
 	// Host is the host that the caller named; empty means the server's address.
@@ -52,6 +55,8 @@
 	// RequestID is sent along; an answer that carries another one belongs to
 	// another request.
 	RequestID string
+	// Server is the id of the server that is meant; empty if it isn't known.
+	Server string
 	// Target is the path with the query.
 	Target string
 }
@@ -63,7 +68,13 @@
 	ConnectTimeout time.Duration
 	// Dial opens a connection; nil means a plain net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// IsLeaving reports whether the header of an answer says that its server leaves. Its
+	// connections are then closed once they are idle. Nil keeps them.
+	IsLeaving func(header http.Header) bool
+	// OnLeaving is told the id of a server that says so; nil isn't.
+	OnLeaving func(server string)
 
+	conns  connections
 	once   sync.Once
 	kept   *http.Transport
 	single *http.Transport
@@ -85,7 +96,7 @@
 		return nil, kind.New(kind.DeadlineUnmet, "the deadline passed before the request was sent")
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	sent := &sentWatch{cancel: cancel}
+	sent := &sentWatch{cancel: cancel, check: request.Check}
 	outgoing, err := newRequest(ctx, address, request, sent)
 	if err != nil {
 		cancel(err)
@@ -105,6 +116,12 @@
 		_ = response.Body.Close()
 		return nil, kind.New(kind.OutcomeUnknown, "the server answered another request")
 	}
+	if c.IsLeaving != nil && c.IsLeaving(response.Header) {
+		c.conns.retire(address)
+		if c.OnLeaving != nil && request.Server != "" {
+			c.OnLeaving(request.Server)
+		}
+	}
 	removeHopByHop(response.Header)
 	return response, nil
 }
@@ -137,7 +154,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{Conn: conn}, nil
+		return c.conns.add(conn, address), nil
 	}
 	transport := func() *http.Transport {
 		return &http.Transport{
@@ -153,7 +170,7 @@
 }
 
 func newRequest(ctx context.Context, address string, request Request, sent *sentWatch) (*http.Request, error) {
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: sent.gotConn})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: sent.gotConn, PutIdleConn: sent.putIdle})
 	outgoing, err := http.NewRequestWithContext(ctx, request.Method, "http://"+address+request.Target, http.NoBody)
 	if err != nil {
 		return nil, err
--- a/internal/entry/host/addresses_test.go
+++ b/internal/entry/host/addresses_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/nutmegway/nutmegway/internal/backend/plain"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
 	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
@@ -32,7 +33,7 @@
 	named := map[string]int{}
 	for i := range hosts {
 		h := &Host{
-			Direct: &kvmemory.Store{}, Logger: slog.New(slog.DiscardHandler),
+			Direct: &kvmemory.Store{}, Logger: slog.New(slog.DiscardHandler), Plain: &plain.Client{},
 			Settings: Settings{CallerAddress: fmt.Sprintf("h%03d:80", i), ID: fmt.Sprintf("h%03d", i)},
 		}
 		h.SetUp()
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -25,6 +25,7 @@
 	"github.com/nutmegway/nutmegway/internal/external/kvrelay"
 	"github.com/nutmegway/nutmegway/internal/external/kvrelay/kvrelaypb"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
+	"github.com/nutmegway/nutmegway/internal/fleet/farewell"
 	"github.com/nutmegway/nutmegway/internal/fleet/follow"
 	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
@@ -105,6 +106,7 @@
 	drain     chan struct{}
 	drainOnce sync.Once
 	endings   *ending.Watch
+	farewells *farewell.Board
 	giver     *loading.Giver
 	inventory *inventory.Inventory
 	leaving   atomic.Bool
@@ -124,13 +126,16 @@
 func (h *Host) SetUp() {
 	incarnation := uuid.NewString()
 	h.drain = make(chan struct{})
-	h.inventory = &inventory.Inventory{}
+	h.inventory = &inventory.Inventory{DrainBound: h.Settings.DrainBound}
 	h.peers = &peer.Pool{Options: peer.LocalOptions()}
 	h.store = h.Direct
 	if h.Settings.PeerAddress != "" {
 		h.relayed = &kvrelay.Store{Direct: h.Direct, Logger: h.Logger, Peers: h}
 		h.store = h.relayed
 	}
+	h.farewells = &farewell.Board{Inventory: h.inventory, Logger: h.Logger, Store: h.store}
+	h.Plain.IsLeaving = h.Dialect.IsLeaving
+	h.Plain.OnLeaving = h.farewells.Heard
 	h.servers = &serverFeed{Documents: h.Documents, Inventory: h.inventory, Logger: h.Logger}
 	h.contents = &poison.Ledger{
 		Duty: h.isFirst, Hosts: func() int { return len(h.roster.Listed()) }, Logger: h.Logger, Store: h.store,
@@ -215,6 +220,7 @@
 	supervise(groupCtx, "runner", h.runner.Run)
 	supervise(groupCtx, "inquiries", h.endings.Run)
 	supervise(groupCtx, "contents", h.contents.Run)
+	supervise(groupCtx, "farewells", h.farewells.Run)
 	supervise(duties, "batches", h.Batches.Run)
 	supervise(duties, "orders", h.giver.Run)
 	supervise(duties, "retirements", h.retired.Run)
@@ -258,6 +264,7 @@
 		h.giver.Observe(roster.IDs(h.roster.Listed()))
 		h.Batches.Index.Apply(c)
 		h.contents.Apply(c)
+		h.farewells.Apply(c)
 	}}
 	mirrors := []*mirror.Mirror{
 		{After: h.live, OnChange: h.applyOperators, Prefix: prefixes.Operators, Wait: h.Settings.operatorsWait()},
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -26,6 +26,7 @@
 	grace        = 8 * time.Second
 	orderSpacing = 3 * time.Second
 	retention    = 120 * time.Second
+	drainBound   = 3 * time.Second
 
 	// Each host has an address of its own on loopback, on which no other program
 	// takes ports.
--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -20,6 +20,8 @@
 	cancel time.Duration
 	// contact is the calm before a host's answers count.
 	contact time.Duration
+	// drain is how long a server that has said that it leaves may still be used.
+	drain time.Duration
 	// loss is how soon a request may be cut that crossed the close of its connection.
 	loss time.Duration
 	// repeats is how many requests may reach servers after others like them have ended
@@ -37,7 +39,7 @@
 // platformLimits are those of the platform's rules and settings.
 func platformLimits() limits {
 	return limits{
-		apply: 3 * time.Second, unstable: 6 * time.Second, cancel: 3 * time.Second, contact: 4 * time.Second,
+		apply: 3 * time.Second, unstable: 6 * time.Second, cancel: 3 * time.Second, contact: 4 * time.Second, drain: drainBound,
 		loss: 200 * time.Millisecond, regress: 250 * time.Millisecond, repeats: 3, settle: time.Second, spacing: orderSpacing, thaw: 300 * time.Millisecond,
 	}
 }
@@ -61,6 +63,7 @@
 	BodiesKept      = "bodies-kept"
 	ScoresTrue      = "scores-true"
 	PoisonStopped   = "poison-stopped"
+	FarewellsHeard  = "farewells-heard"
 )
 
 // judge returns one finding for each promise.
@@ -68,7 +71,7 @@
 	return []ledger.Finding{
 		r.answersWhole(), r.notRunIsTrue(), r.atMostOnce(), r.onlyAsked(), r.stopsCutNothing(l), r.configInForce(l), r.oneGiver(l),
 		r.batchesKept(l), r.refusedDontRun(), r.positionsFixed(), r.textsWhole(), r.versionsTrue(), r.endsKept(l),
-		r.runsToTheEnd(), r.bodiesKept(), r.scoresTrue(), r.poisonStopped(l),
+		r.runsToTheEnd(), r.bodiesKept(), r.scoresTrue(), r.poisonStopped(l), r.farewellsHeard(l),
 	}
 }
 
@@ -275,3 +278,44 @@
 
 // poisonLimit is the number of servers that a content may end.
 const poisonLimit = 3
+
+// farewellsHeard judges requests at hosts that have passed on the word of a server that it
+// leaves, and have not been restarted or paused since.
+func (r *records) farewellsHeard(l limits) ledger.Finding {
+	f := ledger.Finding{Invariant: FarewellsHeard, Timed: true}
+	type word struct {
+		host   int
+		server string
+	}
+	heard := map[word]time.Time{}
+	for _, q := range r.requests {
+		w := word{q.host, q.answer.Server()}
+		if at, ok := heard[w]; !q.broken && q.answer.Leaving && (!ok || q.ended.Before(at)) {
+			heard[w] = q.ended
+		}
+	}
+	runs := r.runsByID()
+	for _, q := range r.requests {
+		for _, run := range runs[q.id] {
+			at, ok := heard[word{q.host, run.Server}]
+			if ok && !r.interrupted(q.host, at, q.sent) {
+				f.Checkf(!q.sent.After(at.Add(l.drain)), "request %s reached server %s, %s after host %d had passed on that it leaves",
+					q.id, run.Server, q.sent.Sub(at), q.host)
+			}
+		}
+	}
+	return f
+}
+
+// interrupted reports whether a host was restarted or paused in a span.
+func (r *records) interrupted(host int, from, to time.Time) bool {
+	stopped := slices.ContainsFunc(r.stops, func(s stop) bool { return s.host == host && s.at.Before(to) && s.ended.After(from) })
+	return stopped || slices.ContainsFunc(r.disturbances, func(d *disturbance) bool {
+		switch d.action {
+		case ActionAllKill, ActionHostKill, ActionHostPause, ActionHostSeries:
+			return (d.host == host || d.host == everyone) && d.touches(host, from, to)
+		default:
+			return false
+		}
+	})
+}
--- a/internal/lab/soak/judge_test.go
+++ b/internal/lab/soak/judge_test.go
@@ -30,6 +30,12 @@
 			method: "POST", sent: at(sent), target: "/f/p",
 		}
 	}
+	leaving := func(id string, sent float64) request {
+		return request{
+			answer: platformtest.Answer{Body: []byte(platformtest.PlainAnswer(id, "POST", "/f/l", "b")), Leaving: true, Stamp: "s.9", Status: http.StatusOK},
+			body:   "b", ended: at(sent), host: 1, id: id, method: "POST", sent: at(sent), target: "/f/l",
+		}
+	}
 	answered := platformtest.Answer{Body: []byte(platformtest.PlainAnswer("q1", "POST", "/n/q1", "b")), Stamp: "s", Status: http.StatusOK}
 	result := platformtest.Result{
 		Completed: true, Item: "i1", Score: "s.ri1", Text: platformtest.ItemText("i1", "2"), Versions: []int64{3},
@@ -53,6 +59,7 @@
 			{answer: answered, body: "b", ended: at(10.1), host: 0, id: "q1", method: "POST", repeat: platformtest.RepeatNever, sent: at(10), target: "/n/q1"},
 			{answer: platformtest.Answer{Status: http.StatusServiceUnavailable}, ended: at(10.1), host: 1, id: "q2", method: "POST", sent: at(10), target: "/n/q2"},
 			poison("p1", 20), poison("p2", 20.1), poison("p3", 20.2), poison("p4", 30), poison("p5", 31), poison("p6", 32), poison("p7", 33),
+			leaving("l1", 40), leaving("l2", 42), leaving("l3", 44),
 		},
 		runs: []platformtest.Run{
 			ran("q1", "/n/q1", "b", 10), ran("i1", "/b/x", "2", 9), ran("i2", "/b/x", "2", 9),
@@ -60,6 +67,7 @@
 			ran("p1", "/f/p", platformtest.PoisonMark, 20), ran("p2", "/f/p", platformtest.PoisonMark, 20.1),
 			ran("p3", "/f/p", platformtest.PoisonMark, 20.2), ran("p4", "/f/p", platformtest.PoisonMark, 30),
 			ran("p5", "/f/p", platformtest.PoisonMark, 31), ran("p6", "/f/p", platformtest.PoisonMark, 32),
+			ran("l1", "/f/l", "b", 40), ran("l2", "/f/l", "b", 42),
 		},
 		stops: []stop{{at: at(10.05), ended: at(12), host: 0}},
 		submissions: map[string]*submission{
@@ -138,6 +146,9 @@
 		"a fourth repeat of what ends servers": {PoisonStopped, func(r *records) {
 			r.runs = append(r.runs, platformtest.Run{Body: platformtest.PoisonMark, ID: "p7", Method: "POST", Started: at(33), Target: "/f/p"})
 		}},
+		"a server that has left is used": {FarewellsHeard, func(r *records) {
+			r.runs = append(r.runs, platformtest.Run{Body: "b", ID: "l3", Method: "POST", Server: "s", Started: at(44), Target: "/f/l"})
+		}},
 		"a body that is gone": {BodiesKept, func(r *records) { r.bodies[0].status = http.StatusNotFound }},
 	}
 	for name, c := range cases {
@@ -193,6 +204,9 @@
 		"a cut host may repeat what ends servers": {disturbance{host: 1, from: at(28), until: at(29)}, PoisonStopped, false, func(r *records) {
 			r.runs = append(r.runs, platformtest.Run{Body: platformtest.PoisonMark, ID: "p7", Method: "POST", Started: at(33), Target: "/f/p"})
 		}},
+		"a paused host may not have heard": {disturbance{action: ActionHostPause, host: 1, from: at(42), until: at(43)}, FarewellsHeard, false, func(r *records) {
+			r.runs = append(r.runs, platformtest.Run{Body: "b", ID: "l3", Method: "POST", Server: "s", Started: at(44), Target: "/f/l"})
+		}},
 		"no trouble excuses a second run": {disturbance{host: everyone, from: at(0), until: at(30)}, AtMostOnce, true, func(r *records) {
 			r.runs = append(r.runs, r.runs[0])
 		}},
--- a/internal/lab/soak/player.go
+++ b/internal/lab/soak/player.go
@@ -78,7 +78,7 @@
 			defer n.busy.Unlock()
 			r.troubleLink(ctx, n.link, n.number, event)
 		}
-	case ActionServerBreaks, ActionServerCrash, ActionServerFails, ActionServerLink, ActionServerLoseOrder, ActionServerOneWay, ActionServerSilent:
+	case ActionServerBreaks, ActionServerCrash, ActionServerFails, ActionServerLeave, ActionServerLink, ActionServerLoseOrder, ActionServerOneWay, ActionServerSilent:
 		return r.troubleServers(ctx, event)
 	default:
 		r.troubleStore(ctx, event)
@@ -210,6 +210,13 @@
 		b.Calm()
 		return nil
 	}
+	if event.Action == ActionServerLeave {
+		if err := b.Leave(event.Target%2 == 0); err != nil {
+			return err
+		}
+		wait.For(ctx, drainBound+event.Last) // The server ends in any case.
+		return r.crash(ctx, b, poisonDown)
+	}
 	if event.Action != ActionServerCrash {
 		r.troubleLink(ctx, b.link, servers, event)
 		return nil
--- a/internal/lab/soak/schedule.go
+++ b/internal/lab/soak/schedule.go
@@ -24,6 +24,7 @@
 	ActionServerBreaks    chaos.Action = "server-breaks"
 	ActionServerCrash     chaos.Action = "server-crash"
 	ActionServerFails     chaos.Action = "server-fails"
+	ActionServerLeave     chaos.Action = "server-leaves"
 	ActionServerLink      chaos.Action = "server-link-reset"
 	ActionServerLoseOrder chaos.Action = "server-loses-order"
 	ActionServerOneWay    chaos.Action = "server-link-one-way"
@@ -40,7 +41,7 @@
 var stormActions = []chaos.Action{
 	ActionAllKill, ActionHostKill, ActionHostKill, ActionHostPause, ActionHostPause, ActionHostPause, ActionHostReload, ActionHostSeries, ActionHostStop,
 	ActionLinkBlackhole, ActionLinkDelay, ActionLinkOneWay, ActionLinkReset, ActionServerBreaks, ActionServerCrash, ActionServerFails,
-	ActionServerLink, ActionServerLoseOrder, ActionServerOneWay, ActionServerSilent, ActionStoreDown, ActionStoreEndsLeases,
+	ActionServerLeave, ActionServerLink, ActionServerLoseOrder, ActionServerOneWay, ActionServerSilent, ActionStoreDown, ActionStoreEndsLeases,
 	ActionStoreForgets, ActionStoreLate, ActionStoreLoses, ActionStoreSlow,
 }
 
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -364,7 +364,8 @@
 	header.Set(f.Dialect.ExpectServer, candidate.ID)
 	response, err := f.Client.Do(ctx, candidate.Address, plain.Request{
 		Body: bytes.NewReader(request.Body), Header: header, Host: request.Host, Length: int64(len(request.Body)),
-		Method: request.Method, Once: once, RequestID: request.ID, Target: request.Target,
+		Check:  func() error { return f.Inventory.Check(candidate.ID) },
+		Method: request.Method, Once: once, RequestID: request.ID, Server: candidate.ID, Target: request.Target,
 	})
 	if err != nil {
 		if ctx.Err() == nil {
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -185,6 +185,7 @@
 	tracker := paceTracker{}
 	outcome, err := r.Generation.Run(x.ctx, generation.Request{
 		Address: engine.Address, Body: s.item.Body, Budget: budget, EventWait: eventWait, FirstWait: firstEventWait,
+		Check:  func() error { return r.Inventory.Check(engine.ID) },
 		Header: s.item.Header, Host: x.batch.Host, ID: s.item.ID, MaxTokens: s.item.Tokens, ResumeAfter: s.last, Server: engine.ID,
 		Target: s.item.Target,
 	}, func(load string) {
