--- a/internal/backend/inventory/inventory.go
+++ b/internal/backend/inventory/inventory.go
@@ -236,14 +236,6 @@
 	}
 }
 
-// IsLeaving reports whether the server has said that it leaves, there or in its entry.
-func (v *Inventory) IsLeaving(id string) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	_, said := v.farewells[id]
-	return said || v.servers[id].Draining
-}
-
 // Check returns an error if a server takes no new work. It is asked just before a request
 // is sent: it may have waited for its connection since the server was chosen, or the host
 // stood still.
