Read who ordered an engine last again when a host was added

A host reads the record of an engine's last order once it ranks first, and waits. A host that came back, ordered and left again while this one heard of neither changed the record unseen: the entry of the order is made under the newest list, but rested on a record read under an older one.

Change: a record counts under the epoch of the list under which it was read; under another one it is read again before an order is entered. That is one call of the store for a host with orders due after a host was added.

Evidence: TestHostThatCameAndWentUnseen fails before (orders of two hosts within 2.75 s) and passes after, 20 runs. Also a record that comes in once this host gives no orders no longer panics.

--- a/internal/rollout/loading/giver.go
+++ b/internal/rollout/loading/giver.go
@@ -240,6 +240,15 @@
 	if len(unread) == 0 {
 		return
 	}
+	permit, err := g.Register.Permit(ctx)
+	if err != nil {
+		g.Logger.LogAttrs(ctx, slog.LevelInfo, "list of hosts unknown before last orders are read", slog.Any("error", err))
+	}
+	g.readRecordsOf(ctx, unread, permit.Epoch())
+}
+
+// readRecordsOf reads the last orders of engines under a list of hosts.
+func (g *Giver) readRecordsOf(ctx context.Context, unread []string, epoch int64) {
 	records, err := g.Register.Records(ctx)
 	if err != nil {
 		g.Logger.LogAttrs(ctx, slog.LevelWarn, "last orders not read", slog.Any("error", err))
@@ -250,9 +259,14 @@
 	now := g.now()
 	for _, id := range unread {
 		record, found := records[id]
-		g.rights.take(id, record, found, now)
+		g.rights.take(id, record, found, now, epoch)
+		right, ok := g.rights.engines[id]
+		if !ok {
+			continue // This host gives no orders any more.
+		}
 		g.Logger.LogAttrs(ctx, slog.LevelInfo, "engine is this host's", slog.String("server", id),
-			slog.String("last-host", record.Host), slog.Duration("orders-in", g.rights.engines[id].from.Sub(now)))
+			slog.String("last-host", record.Host), slog.Int64("epoch", epoch),
+			slog.Duration("orders-in", right.from.Sub(now)))
 	}
 }
 
@@ -268,8 +282,8 @@
 			slog.Int("orders", len(orders)), slog.Any("error", err))
 		return nil, 0
 	}
+	g.renew(ctx, permit, orders)
 	g.mu.Lock()
-	g.setHosts(permit.Hosts)
 	var permitted []Order
 	var engines []string
 	for _, order := range orders {
@@ -292,6 +306,23 @@
 	return permitted, fence
 }
 
+// renew reads the records of engines again that were read under another list of hosts.
+func (g *Giver) renew(ctx context.Context, permit Permit, orders []Order) {
+	g.mu.Lock()
+	g.setHosts(permit.Hosts)
+	var old []string
+	for _, order := range orders {
+		g.rights.rank(order.Server.ID)
+		if g.rights.isOld(order.Server.ID, permit.Epoch()) {
+			old = append(old, order.Server.ID)
+		}
+	}
+	g.mu.Unlock()
+	if len(old) > 0 {
+		g.readRecordsOf(ctx, old, permit.Epoch())
+	}
+}
+
 func (g *Giver) now() time.Time {
 	if g.Now != nil {
 		return g.Now()
--- a/internal/rollout/loading/ledger.go
+++ b/internal/rollout/loading/ledger.go
@@ -33,6 +33,9 @@
 	list roster.List
 }
 
+// Epoch tells the permit's list of hosts from one to which a host was added.
+func (p Permit) Epoch() int64 { return p.list.Epoch() }
+
 // Ledger keeps in the store who ordered which engine last. The fields are set
 // before the first call.
 type Ledger struct {
--- a/internal/rollout/loading/loading_test.go
+++ b/internal/rollout/loading/loading_test.go
@@ -280,6 +280,70 @@
 	})
 }
 
+// TestHostThatCameAndWentUnseen has a host come back, give an order and leave, while
+// another one hears of neither until both are over.
+func TestHostThatCameAndWentUnseen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := &engines{accepted: map[string]int64{}, holders: map[string][]orderAt{}, inv: &inventory.Inventory{}}
+		for _, id := range []string{"a", "b", "c", "d"} {
+			e.inv.Set(engine(id, 1))
+		}
+		f := newFleet()
+		defer f.set(t)
+		both, one := []string{"h1", "h2"}, []string{"h2"}
+		f.set(t, both...)
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		first, second := giver("h1", f, e), giver("h2", f, e)
+		var version int64 = 1
+		named := func(givers ...*loading.Giver) {
+			version++
+			for _, g := range givers {
+				g.Named("m", version)
+			}
+		}
+		for _, g := range []*loading.Giver{first, second} {
+			g.Observe(both)
+			group.Go(func() { _ = g.Run(ctx) })
+		}
+		for range 4 {
+			named(first, second)
+			time.Sleep(2 * time.Second)
+		}
+		f.set(t, one...)
+		second.Observe(one)
+		time.Sleep(time.Second)
+		f.set(t, both...)
+		first.Observe(both)
+		for range 3 {
+			named(first) // The other host has no news of versions either.
+			time.Sleep(1500 * time.Millisecond)
+		}
+		f.set(t, one...)
+		first.Observe(one)
+		second.Observe(one)
+		for range 8 {
+			named(second)
+			time.Sleep(time.Second)
+		}
+		cancel()
+		group.Wait()
+		changes := 0
+		for id, list := range e.holders {
+			for i := 1; i < len(list); i++ {
+				if list[i].holder != list[i-1].holder {
+					changes++
+					if apart := list[i].at.Sub(list[i-1].at); apart < spacing {
+						t.Errorf("engine %s got orders of two hosts within %s", id, apart)
+					}
+				}
+			}
+		}
+		is.True(changes > 0)
+	})
+}
+
 // TestEnterNeedsTheListAsRead adds a host between the reading of the list and
 // the entry of an order, and takes the own entry away: neither order is entered.
 func TestEnterNeedsTheListAsRead(t *testing.T) {
--- a/internal/rollout/loading/rights.go
+++ b/internal/rollout/loading/rights.go
@@ -41,6 +41,9 @@
 
 // right is what this host knows of its right to one engine.
 type right struct {
+	// epoch is that of the list of hosts under which the record was read. Under a later
+	// one another host may have ranked first for a while, unseen by this one.
+	epoch int64
 	// first is whether this host ranks first.
 	first bool
 	// from is when it may order, once read.
@@ -68,19 +71,26 @@
 }
 
 // take takes over the record of an engine's last order, which was read after
-// this host ranked first. Whoever ranked first before can give no more orders.
-func (r *rights) take(engine string, record Record, found bool, now time.Time) {
+// this host ranked first under the list of hosts with the epoch. Whoever ranked first
+// before can give no more orders.
+func (r *rights) take(engine string, record Record, found bool, now time.Time, epoch int64) {
 	e, ok := r.engines[engine]
-	if !ok || !e.first || e.read {
+	if !ok || !e.first || e.read && e.epoch == epoch {
 		return
 	}
-	e.read, e.from = true, now
+	e.epoch, e.read, e.from = epoch, true, now
 	old := now.Sub(time.UnixMilli(record.AtMillis)) >= r.spacing+clockDoubt
 	if found && record.Host != r.self && !old {
 		e.from = now.Add(r.spacing)
 	}
 }
 
+// isOld reports whether the record of an engine has to be read again under a list of hosts.
+func (r *rights) isOld(engine string, epoch int64) bool {
+	e, ok := r.engines[engine]
+	return ok && e.first && e.read && e.epoch != epoch
+}
+
 // may reports whether this host may order the engine.
 func (r *rights) may(engine string, now time.Time) bool {
 	e, ok := r.engines[engine]
