Keep a host's wait for an engine when its record has not changed

Cause: reading a record again under another list of hosts began the wait anew, though nobody had ordered the engine since; hosts that come back one after the other would have put its orders off each time.

Evidence: TestWaitDoesNotBeginAnew.

--- a/internal/rollout/loading/rights.go
+++ b/internal/rollout/loading/rights.go
@@ -49,6 +49,8 @@
 	// from is when it may order, once read.
 	from time.Time
 	read bool
+	// record is what was read.
+	record Record
 }
 
 // rank notes whether this host ranks first for the engine, and reports whether
@@ -78,7 +80,12 @@
 	if !ok || !e.first || e.read && e.epoch == epoch {
 		return
 	}
-	e.epoch, e.read, e.from = epoch, true, now
+	if e.read && e.record == record {
+		// Nobody has ordered it since, so the wait doesn't begin anew.
+		e.epoch = epoch
+		return
+	}
+	e.epoch, e.read, e.record, e.from = epoch, true, record, now
 	old := now.Sub(time.UnixMilli(record.AtMillis)) >= r.spacing+clockDoubt
 	if found && record.Host != r.self && !old {
 		e.from = now.Add(r.spacing)
