--- a/internal/lab/soak/workload.go
+++ b/internal/lab/soak/workload.go
@@ -46,9 +46,6 @@
 	readEvery  = 100 * time.Millisecond
 	// poisonEvery is the time between two repeats of a request that ends its servers.
 	poisonEvery = 200 * time.Millisecond
-	// poisonSpan is the part of a cycle in which they are sent. The servers that one ends
-	// late must not disturb the planned stop.
-	poisonSpan = stormTime + calmTime/2
 	// tryEvery is the time between two batches that are sent to one host only.
 	tryEvery = 400 * time.Millisecond
 )
@@ -87,9 +84,7 @@
 	repeat(r.tryOnce)
 	began := time.Now()
 	repeat(func(ctx context.Context) error {
-		if since := time.Since(began); since%cycleTime < poisonSpan {
-			r.poison(ctx, int(since/cycleTime))
-		}
+		r.poison(ctx, int(time.Since(began)/cycleTime))
 		wait.For(busy, poisonEvery) // The loop sees the end.
 		return nil
 	})
