--- a/internal/lab/soak/player.go
+++ b/internal/lab/soak/player.go
@@ -189,10 +189,8 @@
 // troubleServers troubles an engine and a plain server at once.
 func (r *run) troubleServers(ctx context.Context, event chaos.Event) error {
 	var group errgroup.Group
-	for _, b := range []*backend{
-		r.backends[event.Target%engineCount], r.backends[engineCount+event.Target%plainCount],
-	} {
-		if b.busy.TryLock() {
+	for _, kind := range [][]*backend{r.backends[:engineCount], r.backends[engineCount:]} {
+		if b := take(kind, event.Target); b != nil {
 			group.Go(func() error {
 				defer b.busy.Unlock()
 				return r.troubleServer(ctx, b, event)
@@ -202,6 +200,16 @@
 	return group.Wait()
 }
 
+// take returns a server that no other event has taken, or nil.
+func take(servers []*backend, first int) *backend {
+	for i := range servers {
+		if b := servers[(first+i)%len(servers)]; b.busy.TryLock() {
+			return b
+		}
+	}
+	return nil
+}
+
 func (r *run) troubleServer(ctx context.Context, b *backend, event chaos.Event) error {
 	if trouble, ok := serverTroubles[event.Action]; ok {
 		defer r.book.disturb(event.Action, servers)()
