--- a/internal/backend/inventory/inventory.go
+++ b/internal/backend/inventory/inventory.go
@@ -22,10 +22,10 @@
 	// defaultDrainBound is within what time a leaving server gets no new work if the
 	// deployment names none.
 	defaultDrainBound = 2 * time.Second
-	// maxFarewells bounds the servers that have said that they leave, and farewellKept
-	// is how long the word of one is kept whose entry is gone.
-	maxFarewells = 4096
-	farewellKept = time.Minute
+	// maxNotices bounds the servers that have said that they leave, and noticeKept
+	// is how long that of one is kept whose entry is gone.
+	maxNotices = 4096
+	noticeKept = time.Minute
 )
 
 // Server is what the platform says of one backend server.
@@ -72,9 +72,9 @@
 	versions map[string]int64
 }
 
-// farewell is the word of a server that it leaves. The platform's list may say otherwise
+// notice is what a server has said of itself: that it leaves. The platform's list may say otherwise
 // for a while, or for good.
-type farewell struct {
+type notice struct {
 	heard elapsed.Mark
 	// started is the start of the server that said so; startUnknown if it isn't known.
 	started int64
@@ -95,10 +95,10 @@
 	// byService holds the ids of each service's servers, ascending.
 	byService map[string][]string
 	changed   chan struct{}
-	farewells map[string]farewell
+	notices   map[string]notice
 	servers   map[string]Server
 	states    map[string]*state
-	// swept is when farewells were last looked through.
+	// swept is when notices were last looked through.
 	swept time.Time
 }
 
@@ -113,10 +113,10 @@
 	if known && before.Started != s.Started {
 		delete(v.states, s.ID)
 	}
-	if said, ok := v.farewells[s.ID]; ok && said.started != s.Started {
-		delete(v.farewells, s.ID)
+	if said, ok := v.notices[s.ID]; ok && said.started != s.Started {
+		delete(v.notices, s.ID)
 		if said.started == startUnknown {
-			v.farewells[s.ID] = farewell{heard: said.heard, started: s.Started}
+			v.notices[s.ID] = notice{heard: said.heard, started: s.Started}
 		}
 	}
 	if st := v.states[s.ID]; st != nil {
@@ -201,38 +201,38 @@
 	case known && started != s.Started:
 		return false // It has started again since.
 	}
-	if _, ok := v.farewells[id]; ok {
+	if _, ok := v.notices[id]; ok {
 		return false
 	}
-	v.boundFarewells()
-	if v.farewells == nil {
-		v.farewells = make(map[string]farewell)
+	v.boundNotices()
+	if v.notices == nil {
+		v.notices = make(map[string]notice)
 	}
-	v.farewells[id] = farewell{heard: elapsed.Now(v.Now), started: started}
+	v.notices[id] = notice{heard: elapsed.Now(v.Now), started: started}
 	v.notify()
 	return true
 }
 
-// boundFarewells forgets the words of servers that are gone, and the oldest one if there
+// boundNotices forgets the notices of servers that are gone, and the oldest one if there
 // are too many. v.mu is held.
-func (v *Inventory) boundFarewells() {
-	if len(v.farewells) < maxFarewells && v.now().Sub(v.swept) < farewellKept {
+func (v *Inventory) boundNotices() {
+	if len(v.notices) < maxNotices && v.now().Sub(v.swept) < noticeKept {
 		return
 	}
 	v.swept = v.now()
 	oldest, longest := "", time.Duration(-1)
-	for id, said := range v.farewells {
+	for id, said := range v.notices {
 		since := said.heard.Since(v.Now)
-		if _, known := v.servers[id]; !known && since > farewellKept {
-			delete(v.farewells, id)
+		if _, known := v.servers[id]; !known && since > noticeKept {
+			delete(v.notices, id)
 			continue
 		}
 		if since > longest {
 			oldest, longest = id, since
 		}
 	}
-	if len(v.farewells) >= maxFarewells {
-		delete(v.farewells, oldest)
+	if len(v.notices) >= maxNotices {
+		delete(v.notices, oldest)
 	}
 }
 
@@ -259,7 +259,7 @@
 		if v.servers[id].Draining {
 			continue
 		}
-		said, leaves := v.farewells[id]
+		said, leaves := v.notices[id]
 		switch {
 		case !leaves:
 			open = append(open, id)
--- a/internal/backend/inventory/inventory_test.go
+++ b/internal/backend/inventory/inventory_test.go
@@ -171,8 +171,8 @@
 	is.Equal(len(ids("other")), 0)
 }
 
-// TestFarewells has servers that say themselves that they leave.
-func TestFarewells(t *testing.T) {
+// TestNotices has servers that say themselves that they leave.
+func TestNotices(t *testing.T) {
 	is := is.New(t)
 	v, c := newInventory(inventory.Server{ID: "a", Service: "s", Started: 1}, inventory.Server{ID: "b", Service: "s", Started: 1})
 	v.DrainBound = 3 * time.Second
@@ -194,8 +194,8 @@
 	is.NoErr(v.Check("b"))
 }
 
-// TestFarewellsAreBounded hears of far more servers than are kept.
-func TestFarewellsAreBounded(t *testing.T) {
+// TestNoticesAreBounded hears of far more servers than are kept.
+func TestNoticesAreBounded(t *testing.T) {
 	is := is.New(t)
 	v, c := newInventory(inventory.Server{ID: "a", Service: "s", Started: 1}, inventory.Server{ID: "b", Service: "s", Started: 1})
 	v.Leaves("a", 0)
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -25,8 +25,8 @@
 	"github.com/nutmegway/nutmegway/internal/external/kvrelay"
 	"github.com/nutmegway/nutmegway/internal/external/kvrelay/kvrelaypb"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
-	"github.com/nutmegway/nutmegway/internal/fleet/farewell"
 	"github.com/nutmegway/nutmegway/internal/fleet/follow"
+	"github.com/nutmegway/nutmegway/internal/fleet/leaving"
 	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/fleet/roster"
@@ -101,17 +101,17 @@
 	Batches   *batchrun.Service
 	Forwarder *forward.Forwarder
 
-	config    atomic.Pointer[config.Config]
-	contents  *poison.Ledger
-	drain     chan struct{}
-	drainOnce sync.Once
-	endings   *ending.Watch
-	farewells *farewell.Board
-	giver     *loading.Giver
-	inventory *inventory.Inventory
-	leaving   atomic.Bool
-	peers     *peer.Pool
-	live      *mirror.Mirror
+	config         atomic.Pointer[config.Config]
+	contents       *poison.Ledger
+	drain          chan struct{}
+	drainOnce      sync.Once
+	endings        *ending.Watch
+	leavingServers *leaving.Board
+	giver          *loading.Giver
+	inventory      *inventory.Inventory
+	leaving        atomic.Bool
+	peers          *peer.Pool
+	live           *mirror.Mirror
 	// relayed is the key-value service by way of other hosts, too.
 	relayed *kvrelay.Store
 	retired retirements
@@ -133,9 +133,9 @@
 		h.relayed = &kvrelay.Store{Direct: h.Direct, Logger: h.Logger, Peers: h}
 		h.store = h.relayed
 	}
-	h.farewells = &farewell.Board{Inventory: h.inventory, Logger: h.Logger, Store: h.store}
+	h.leavingServers = &leaving.Board{Inventory: h.inventory, Logger: h.Logger, Store: h.store}
 	h.Plain.IsLeaving = h.Dialect.IsLeaving
-	h.Plain.OnLeaving = h.farewells.Heard
+	h.Plain.OnLeaving = h.leavingServers.Heard
 	h.servers = &serverFeed{Documents: h.Documents, Inventory: h.inventory, Logger: h.Logger}
 	h.contents = &poison.Ledger{
 		Duty: h.isFirst, Hosts: func() int { return len(h.roster.Listed()) }, Logger: h.Logger, Store: h.store,
@@ -220,7 +220,7 @@
 	supervise(groupCtx, "runner", h.runner.Run)
 	supervise(groupCtx, "inquiries", h.endings.Run)
 	supervise(groupCtx, "contents", h.contents.Run)
-	supervise(groupCtx, "farewells", h.farewells.Run)
+	supervise(groupCtx, "leaving servers", h.leavingServers.Run)
 	supervise(duties, "batches", h.Batches.Run)
 	supervise(duties, "orders", h.giver.Run)
 	supervise(duties, "retirements", h.retired.Run)
@@ -264,7 +264,7 @@
 		h.giver.Observe(roster.IDs(h.roster.Listed()))
 		h.Batches.Index.Apply(c)
 		h.contents.Apply(c)
-		h.farewells.Apply(c)
+		h.leavingServers.Apply(c)
 	}}
 	mirrors := []*mirror.Mirror{
 		{After: h.live, OnChange: h.applyOperators, Prefix: prefixes.Operators, Wait: h.Settings.operatorsWait()},
--- a/internal/fleet/farewell/farewell.go
+++ b/internal/fleet/leaving/leaving.go
@@ -1,6 +1,6 @@
-// Package farewell tells all entry hosts of backend servers that said in an answer to one
+// Package leaving tells all entry hosts of backend servers that said in an answer to one
 // of them that they leave.
-package farewell
+package leaving
 
 import (
 	"context"
--- a/internal/fleet/farewell/farewell_test.go
+++ b/internal/fleet/leaving/leaving_test.go
@@ -1,4 +1,4 @@
-package farewell_test
+package leaving_test
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
 	"github.com/nutmegway/nutmegway/internal/base/wait"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
-	"github.com/nutmegway/nutmegway/internal/fleet/farewell"
+	"github.com/nutmegway/nutmegway/internal/fleet/leaving"
 	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
 	"github.com/nutmegway/nutmegway/internal/standin/kvmemory"
 )
@@ -33,7 +33,7 @@
 
 // host is the board of one host with what it knows of servers.
 type host struct {
-	*farewell.Board
+	*leaving.Board
 
 	servers *inventory.Inventory
 }
@@ -52,7 +52,7 @@
 			for _, id := range []string{"a", "b"} {
 				servers.Set(inventory.Server{ID: id, Service: "s", Started: 1})
 			}
-			board := &farewell.Board{Inventory: servers, Logger: logger, Store: store}
+			board := &leaving.Board{Inventory: servers, Logger: logger, Store: store}
 			live := &mirror.Mirror{Logger: logger, OnChange: board.Apply, Prefix: mirror.LivePrefix, Store: store}
 			group.Go(func() error { return board.Run(ctx) })
 			group.Go(func() error { return live.Run(ctx) })
--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -63,7 +63,7 @@
 	BodiesKept      = "bodies-kept"
 	ScoresTrue      = "scores-true"
 	PoisonStopped   = "poison-stopped"
-	FarewellsHeard  = "farewells-heard"
+	LeavingHeard    = "leaving-heard"
 )
 
 // judge returns one finding for each promise.
@@ -71,7 +71,7 @@
 	return []ledger.Finding{
 		r.answersWhole(), r.notRunIsTrue(), r.atMostOnce(), r.onlyAsked(), r.stopsCutNothing(l), r.configInForce(l), r.oneGiver(l),
 		r.batchesKept(l), r.refusedDontRun(), r.positionsFixed(), r.textsWhole(), r.versionsTrue(), r.endsKept(l),
-		r.runsToTheEnd(), r.bodiesKept(), r.scoresTrue(), r.poisonStopped(l), r.farewellsHeard(l),
+		r.runsToTheEnd(), r.bodiesKept(), r.scoresTrue(), r.poisonStopped(l), r.leavingHeard(l),
 	}
 }
 
@@ -279,10 +279,10 @@
 // poisonLimit is the number of servers that a content may end.
 const poisonLimit = 3
 
-// farewellsHeard judges requests at hosts that have passed on the word of a server that it
+// leavingHeard judges requests at hosts that have passed on the word of a server that it
 // leaves, and have not been restarted or paused since.
-func (r *records) farewellsHeard(l limits) ledger.Finding {
-	f := ledger.Finding{Invariant: FarewellsHeard, Timed: true}
+func (r *records) leavingHeard(l limits) ledger.Finding {
+	f := ledger.Finding{Invariant: LeavingHeard, Timed: true}
 	type word struct {
 		host   int
 		server string
--- a/internal/lab/soak/judge_test.go
+++ b/internal/lab/soak/judge_test.go
@@ -146,7 +146,7 @@
 		"a fourth repeat of what ends servers": {PoisonStopped, func(r *records) {
 			r.runs = append(r.runs, platformtest.Run{Body: platformtest.PoisonMark, ID: "p7", Method: "POST", Started: at(33), Target: "/f/p"})
 		}},
-		"a server that has left is used": {FarewellsHeard, func(r *records) {
+		"a server that has left is used": {LeavingHeard, func(r *records) {
 			r.runs = append(r.runs, platformtest.Run{Body: "b", ID: "l3", Method: "POST", Server: "s", Started: at(44), Target: "/f/l"})
 		}},
 		"a body that is gone": {BodiesKept, func(r *records) { r.bodies[0].status = http.StatusNotFound }},
@@ -204,7 +204,7 @@
 		"a cut host may repeat what ends servers": {disturbance{host: 1, from: at(28), until: at(29)}, PoisonStopped, false, func(r *records) {
 			r.runs = append(r.runs, platformtest.Run{Body: platformtest.PoisonMark, ID: "p7", Method: "POST", Started: at(33), Target: "/f/p"})
 		}},
-		"a paused host may not have heard": {disturbance{action: ActionHostPause, host: 1, from: at(42), until: at(43)}, FarewellsHeard, false, func(r *records) {
+		"a paused host may not have heard": {disturbance{action: ActionHostPause, host: 1, from: at(42), until: at(43)}, LeavingHeard, false, func(r *records) {
 			r.runs = append(r.runs, platformtest.Run{Body: "b", ID: "l3", Method: "POST", Server: "s", Started: at(44), Target: "/f/l"})
 		}},
 		"no trouble excuses a second run": {disturbance{host: everyone, from: at(0), until: at(30)}, AtMostOnce, true, func(r *records) {
