A host is ready once it knows servers; a failed hedge keeps its outcome

A host counted as ready with its configuration alone.

When both attempts of a hedged call fail, only the error of the second one was returned, so a call that may have run at the first engine was reported as not run. The first failure is now recorded like that of a single attempt.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -120,6 +120,7 @@
 	leaving            atomic.Bool
 	peers              *peer.Pool
 	liveMirror         *mirror.Mirror
+	mirrors            []*mirror.Mirror
 	// relayStore uses the key-value service through other hosts if it can't be reached
 	// directly. It is nil without a peer address.
 	relayStore       *kvrelay.Store
@@ -127,6 +128,7 @@
 	roster           *roster.Roster
 	runner           *batchrun.Runner
 	inventoryUpdater *inventoryUpdater
+	serverMirror     *mirror.Mirror
 	// store is relayStore, or DirectStore without a peer address.
 	store kv.RangeStore
 }
@@ -183,6 +185,7 @@
 		Spacing: h.Settings.OrderSpacing,
 	}
 	h.retirements = retirementResponder{IsResponsible: h.isResponsible, Decoder: h.Decoder, Logger: h.Logger, Store: h.store, wake: make(chan struct{}, 1)}
+	h.mirrors = h.newMirrors()
 }
 
 // Run serves until Drain is called or ctx ends.
@@ -211,11 +214,10 @@
 		return err
 	}
 	h.runner.Start(group)
-	mirrors := h.mirrors()
 	if h.Settings.PeerAddress != "" {
 		server := &peer.Server{Address: h.Settings.PeerAddress, Logger: h.Logger, Register: func(s *grpc.Server) {
 			batchlink.Register(s, h.Batches)
-			follow.Register(s, mirrors)
+			follow.Register(s, h.mirrors)
 			kvrelay.Register(s, h.relayStore)
 		}}
 		group.Go(func() error { return server.Run(groupCtx) })
@@ -224,7 +226,7 @@
 	supervise := func(ctx context.Context, task string, run func(context.Context) error) {
 		group.Go(func() error { return recovery.Supervise(ctx, h.Logger, task, run) })
 	}
-	for _, m := range mirrors {
+	for _, m := range h.mirrors {
 		supervise(groupCtx, "mirror of "+m.Prefix, m.Run)
 	}
 	supervise(groupCtx, "roster", h.roster.Run)
@@ -267,9 +269,9 @@
 	})
 }
 
-// mirrors returns the mirrors of the operators' keys, the backend servers' entries and
+// newMirrors returns the mirrors of the operators' keys, the backend servers' entries and
 // the live keys of the fleet.
-func (h *Host) mirrors() []*mirror.Mirror {
+func (h *Host) newMirrors() []*mirror.Mirror {
 	prefixes := h.Decoder.Prefixes()
 	h.liveMirror = &mirror.Mirror{CoalesceDelay: h.Settings.coalesceDelay(), Prefix: mirror.LivePrefix, WatchTimeout: sharedWatchWait, OnChange: func(c mirror.Change) {
 		h.roster.Apply(c)
@@ -278,12 +280,13 @@
 		h.poisonRegistry.Apply(c)
 		h.leavingBroadcaster.Apply(c)
 	}}
+	h.serverMirror = &mirror.Mirror{
+		HostsMirror: h.liveMirror, CoalesceDelay: h.Settings.coalesceDelay(), OnChange: h.inventoryUpdater.apply, Prefix: prefixes.Servers,
+		WatchTimeout: sharedWatchWait,
+	}
 	mirrors := []*mirror.Mirror{
 		{HostsMirror: h.liveMirror, OnChange: h.applyOperatorChange, Prefix: prefixes.Operators, WatchTimeout: h.Settings.operatorWatchWait()},
-		{
-			HostsMirror: h.liveMirror, CoalesceDelay: h.Settings.coalesceDelay(), OnChange: h.inventoryUpdater.apply, Prefix: prefixes.Servers,
-			WatchTimeout: sharedWatchWait,
-		},
+		h.serverMirror,
 		h.liveMirror,
 	}
 	compaction := new(mirror.CompactionSignal)
@@ -368,9 +371,11 @@
 	return h.Batches.Submit(ctx, b)
 }
 
-// Ready reports whether the host accepts new requests: it has a configuration and is not
-// leaving.
-func (h *Host) Ready() bool { return !h.leaving.Load() && h.config.Load() != nil }
+// Ready reports whether the host accepts new requests: it has a configuration and the list
+// of backend servers, and is not leaving.
+func (h *Host) Ready() bool {
+	return !h.leaving.Load() && h.config.Load() != nil && h.serverMirror.Delivered()
+}
 
 // CallerAddresses returns the addresses that callers may connect to and how long they
 // may keep them.
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -9,6 +9,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -132,6 +133,9 @@
 	// the bound to the store's client. A short timeout detects a compaction soon.
 	WatchTimeout time.Duration
 
+	// delivered is set once OnChange has received the first list.
+	delivered atomic.Bool
+
 	mu sync.Mutex
 	// changed is closed and reset at each change. It is nil without waiters.
 	changed chan struct{}
@@ -440,8 +444,13 @@
 	if m.OnChange != nil && (len(events) > 0 || outage > 0) {
 		m.OnChange(Change{Events: events, Outage: outage})
 	}
+	m.delivered.Store(true)
 }
 
+// Delivered reports whether OnChange has received the first list. An empty list counts,
+// although OnChange is not called for it.
+func (m *Mirror) Delivered() bool { return m.delivered.Load() }
+
 // merge applies events to the copy and advances it to revision. m.mu is held.
 func (m *Mirror) merge(events []kv.Event, revision int64) {
 	if m.entries == nil {
--- a/internal/request/route/hedge.go
+++ b/internal/request/route/hedge.go
@@ -24,7 +24,8 @@
 // startHedged starts an attempt at the server and waits for its first chunk. If
 // none arrives within the delay from hedgeDelay, it starts a second attempt at the
 // server from chooseHedge. It returns the attempt whose first chunk arrives first and
-// cancels the other at its engine. If one of the two fails, it waits for the other.
+// cancels the other at its engine. If one of the two fails, it records that and waits
+// for the other.
 func (s *stream) startHedged(id string) attemptStart {
 	delay, ok := s.hedgeDelay()
 	if !ok {
@@ -59,6 +60,7 @@
 	run(otherCtx, s.newAttempt(second))
 	winner := <-results
 	if winner.err != nil {
+		s.recordHedgeFailure(time.Now(), winner)
 		winner = <-results
 		return s.attachCancel(winner, func() { cancel(); cancelOther() })
 	}
@@ -74,6 +76,20 @@
 	return s.attachCancel(winner, cancelOther)
 }
 
+// recordHedgeFailure records a failed attempt beside which another one goes on. Only the
+// error of the other one is returned, so whether this attempt ran would be lost.
+func (s *stream) recordHedgeFailure(now time.Time, failed attemptStart) {
+	ran := kind.Of(failed.err).Ran
+	if owner.IsHostLost(failed.err) {
+		ran = kind.RanUnknown
+	}
+	s.recordRan(ran)
+	s.tried = append(s.tried, failed.server)
+	if ran != kind.RanNo {
+		s.state.recordOutcome(now, failed.server, true, len(s.dispatcher.Servers.Servers(s.call.Service)))
+	}
+}
+
 // attachCancel makes the attempt cancel its context when it is closed. If the
 // attempt failed, attachCancel cancels the context at once.
 func (*stream) attachCancel(r attemptStart, cancel context.CancelFunc) attemptStart {
