Say from the logs what each step waited for

Cause: the decisions are to be judged by where a step's time goes, and the logs lacked what an item waited for, how long a run took for its first event, how long it was silent, the pace of the best engine, and when results were stored.

--- a/cmd/nutmegway/commands.go
+++ b/cmd/nutmegway/commands.go
@@ -32,6 +32,7 @@
 var topCommands = []func(*kingpin.Application) command{
 	addAddresses,
 	addCertificate,
+	addCriticalPath,
 	addDatagramKey,
 	addErrors,
 	addExplain,
--- a/cmd/nutmegway/explaincmd.go
+++ b/cmd/nutmegway/explaincmd.go
@@ -24,13 +24,9 @@
 // explain writes the log lines that mention the ID and the related events of hosts and
 // servers, in order of time.
 func explain(w io.Writer, id string, files []string) error {
-	var lines []logline.Line
-	for _, path := range files {
-		read, err := readLog(path)
-		if err != nil {
-			return kind.Wrap(kind.BadRequest, err)
-		}
-		lines = append(lines, read...)
+	lines, err := readLogs(files)
+	if err != nil {
+		return err
 	}
 	timeline := logline.Timeline(lines, id)
 	if len(timeline) == 0 {
@@ -42,6 +38,18 @@
 	return nil
 }
 
+func readLogs(files []string) ([]logline.Line, error) {
+	var lines []logline.Line
+	for _, path := range files {
+		read, err := readLog(path)
+		if err != nil {
+			return nil, kind.Wrap(kind.BadRequest, err)
+		}
+		lines = append(lines, read...)
+	}
+	return lines, nil
+}
+
 func readLog(path string) ([]logline.Line, error) {
 	file, err := os.Open(path)
 	if err != nil {
--- a/internal/rollout/batchrun/append.go
+++ b/internal/rollout/batchrun/append.go
@@ -158,8 +158,10 @@
 	br.unconfirmed = nil
 	close(br.changed)
 	br.changed = make(chan struct{})
-	more := len(br.pending) > 0
+	more, position := len(br.pending) > 0, len(br.stored)
 	r.mu.Unlock()
+	r.Logger.Info("results stored", slog.String("batch", head.ID), slog.Int("results", len(results)), slog.Int("next", position),
+		slog.Int64("revision", head.Revision))
 	if head.Done {
 		r.stop(br, head)
 	}
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -53,6 +53,10 @@
 	rewardCall *reward.Call[*pendingScore]
 	running    bool
 	started    bool
+	// readySince is when the item last began to wait for an engine, and obstacle why it
+	// got none at the last try.
+	readySince time.Time
+	obstacle   placing.Obstacle
 	// versions are the weight versions that generated the events, ascending.
 	versions []int64
 	// textComplete is set once the text is complete.
@@ -102,8 +106,9 @@
 		batch: b, byID: make(map[string]int, len(b.Items)), changed: make(chan struct{}),
 		unfinishedInGroup: make(map[string]int), head: head, stored: stored, appendSignal: make(chan struct{}, 1), runner: r,
 	}
+	now := time.Now()
 	for i, item := range b.Items {
-		br.items = append(br.items, &itemState{item: item})
+		br.items = append(br.items, &itemState{item: item, readySince: now})
 		br.byID[item.ID] = i
 		br.unfinishedInGroup[item.Group]++
 	}
@@ -165,6 +170,7 @@
 		demand := br.demand(s, route.SingleVersion)
 		engine, ok := placing.Choose(candidates, demand)
 		if !ok {
+			s.obstacle = placing.FindObstacle(candidates, demand)
 			if demand.OnlyVersion > 0 {
 				// No engine can continue the text in its weight version now, so
 				// generation starts over.
@@ -180,9 +186,13 @@
 		s.running, s.started = true, true
 		br.inFlight++
 		br.runner.Inventory.RequestStarted(engine.ID)
-		budget := route.ItemTimeout - now.Sub(br.head.Submitted())
+		start := runStart{
+			budget: route.ItemTimeout - now.Sub(br.head.Submitted()), engine: engine, route: route, service: service,
+			bestPace: placing.LowestEventInterval(candidates, demand), obstacle: s.obstacle, waited: now.Sub(s.readySince),
+		}
+		s.obstacle = ""
 		br.runner.Go("item "+s.item.ID, func() error {
-			br.runItem(s, engine, route, service, budget)
+			br.runItem(s, start)
 			return nil
 		})
 	}
@@ -192,24 +202,37 @@
 // reset discards the partial text, so that the next run generates it from the start.
 func (s *itemState) reset() { s.events, s.lastEventID, s.versions = nil, "", nil }
 
+// runStart is the decision to run an item.
+type runStart struct {
+	// bestPace is the event interval of the fastest engine that the item could run on,
+	// busy or not; zero if unknown.
+	bestPace time.Duration
+	// budget is how long the result is still of use.
+	budget  time.Duration
+	engine  inventory.Candidate
+	route   config.Route
+	service string
+	// waited is how long the item waited for an engine, and obstacle what it waited for.
+	waited   time.Duration
+	obstacle placing.Obstacle
+}
+
 // runItem runs an item once on an engine.
-func (br *batchRun) runItem(
-	s *itemState, engine inventory.Candidate, route config.Route, service string, budget time.Duration,
-) {
-	r := br.runner
+func (br *batchRun) runItem(s *itemState, start runStart) {
+	r, engine := br.runner, start.engine
 	defer br.release(s, engine)
 	began := time.Now()
 	eventsBefore := len(s.events)
 	tracker := intervalTracker{}
 	outcome, err := r.Generation.Run(br.ctx, generation.Request{
-		Address: engine.Address, Body: s.item.Body, Budget: budget, EventTimeout: eventTimeout, FirstEventTimeout: firstEventTimeout,
+		Address: engine.Address, Body: s.item.Body, Budget: start.budget, EventTimeout: eventTimeout, FirstEventTimeout: firstEventTimeout,
 		BeforeSend: func() error { return r.Inventory.CheckAvailable(engine.ID) },
 		Header:     s.item.Header, Host: br.batch.Host, ID: s.item.ID, MaxTokens: s.item.Tokens, ResumeAfter: s.lastEventID, Server: engine.ID,
 		Target: s.item.Target,
 	}, func(load string) {
 		r.Inventory.RecordAnswer(engine.ID, forward.ParseLoad(load))
 	}, func(event generation.Event) error {
-		return br.onEvent(s, engine.ID, service, &tracker, event)
+		return br.onEvent(s, engine.ID, start.service, &tracker, event)
 	})
 	r.metrics.recordRun(outcome, time.Since(began))
 	r.mu.Lock()
@@ -219,9 +242,11 @@
 			slog.String("server", engine.ID), slog.String("outcome", string(outcome)), slog.Any("error", err),
 			slog.Duration("after", time.Since(began)), slog.Int("events", len(s.events)-eventsBefore),
 			slog.Int("events-in-all", len(s.events)), slog.Int("hint", s.item.LengthHint),
-			slog.Int("tokens", s.item.Tokens), slog.Duration("pace", tracker.meanInterval), slog.Duration("server-pace", engine.EventInterval))
+			slog.Int("tokens", s.item.Tokens), slog.Duration("pace", tracker.meanInterval), slog.Duration("server-pace", engine.EventInterval),
+			slog.Duration("best-pace", start.bestPace), slog.Duration("waited", start.waited), slog.String("waited-for", string(start.obstacle)),
+			slog.Duration("to-first-event", tracker.toFirstEvent(began)), slog.Duration("silent", tracker.silence(began)))
 	}
-	br.onRunEnded(s, engine, route, outcome, err)
+	br.onRunEnded(s, engine, start.route, outcome, err)
 }
 
 // release marks an item as no longer running, whatever its outcome, and wakes the
@@ -229,7 +254,7 @@
 func (br *batchRun) release(s *itemState, engine inventory.Candidate) {
 	br.runner.mu.Lock()
 	br.inFlight--
-	s.running = false
+	s.running, s.readySince = false, time.Now()
 	br.runner.mu.Unlock()
 	br.runner.Inventory.RequestFinished(engine.ID)
 	br.runner.wakeUp()
@@ -359,6 +384,10 @@
 		if br.completeGroups >= br.batch.TargetGroups || br.completeGroups == len(br.unfinishedInGroup) {
 			br.urgency = urgencyStep
 		}
+		if br.completeGroups == br.batch.TargetGroups {
+			br.runner.Logger.Info("awaited groups complete", slog.String("batch", br.batch.ID), slog.String("item", s.item.ID),
+				slog.Int("groups", br.completeGroups), slog.Duration("after", time.Since(br.head.Submitted())))
+		}
 	}
 	br.signalAppend()
 }
@@ -393,8 +422,9 @@
 
 // intervalTracker measures the mean interval between the events of one run.
 type intervalTracker struct {
-	intervals int
-	lastEvent time.Time
+	intervals  int
+	firstEvent time.Time
+	lastEvent  time.Time
 	// lastFasterCheck is when a faster engine was last searched for.
 	lastFasterCheck time.Time
 	meanInterval    time.Duration
@@ -405,6 +435,7 @@
 func (t *intervalTracker) observe(now time.Time) (time.Duration, bool) {
 	defer func() { t.lastEvent = now }()
 	if t.lastEvent.IsZero() {
+		t.firstEvent = now
 		return 0, false
 	}
 	interval := now.Sub(t.lastEvent)
@@ -416,3 +447,20 @@
 	}
 	return interval, true
 }
+
+// toFirstEvent returns how long the run that began at began took for its first event; zero
+// if it has none.
+func (t *intervalTracker) toFirstEvent(began time.Time) time.Duration {
+	if t.firstEvent.IsZero() {
+		return 0
+	}
+	return t.firstEvent.Sub(began)
+}
+
+// silence returns how long the run that began at began has been without an event.
+func (t *intervalTracker) silence(began time.Time) time.Duration {
+	if t.lastEvent.IsZero() {
+		return time.Since(began)
+	}
+	return time.Since(t.lastEvent)
+}
--- a/internal/rollout/placing/placing.go
+++ b/internal/rollout/placing/placing.go
@@ -81,6 +81,35 @@
 	return candidates[best], true
 }
 
+// Obstacle is the reason why Choose finds no engine for an item.
+type Obstacle string
+
+// The obstacles, each named after what has to change first.
+const (
+	ObstacleNoEngine Obstacle = "no-engine"
+	ObstacleWeights  Obstacle = "weights"
+	ObstacleBackoff  Obstacle = "back-off"
+	ObstacleSlots    Obstacle = "slots"
+)
+
+// FindObstacle returns why no engine can take an item that meets the demand now.
+func FindObstacle(candidates []inventory.Candidate, demand Demand) Obstacle {
+	if len(candidates) == 0 {
+		return ObstacleNoEngine
+	}
+	obstacle := ObstacleWeights
+	for _, c := range candidates {
+		switch {
+		case !AllowsVersion(c, demand):
+		case !c.BackingOff:
+			return ObstacleSlots
+		default:
+			obstacle = ObstacleBackoff
+		}
+	}
+	return obstacle
+}
+
 // AllowsVersion reports whether the demand allows the engine's weight version.
 func AllowsVersion(c inventory.Candidate, demand Demand) bool {
 	version := c.Versions[demand.Model]
@@ -121,6 +150,18 @@
 	return intervals[len(intervals)/2]
 }
 
+// LowestEventInterval returns the event interval of the fastest engine that meets the
+// demand, or zero if none is known.
+func LowestEventInterval(candidates []inventory.Candidate, demand Demand) time.Duration {
+	var lowest time.Duration
+	for _, c := range candidates {
+		if c.EventInterval > 0 && AllowsVersion(c, demand) && (lowest == 0 || c.EventInterval < lowest) {
+			lowest = c.EventInterval
+		}
+	}
+	return lowest
+}
+
 // Run is the progress of an item's current run at an engine.
 type Run struct {
 	// Events is the number of events of the item so far, at all engines.
