Ask an engine when its load should have ended

Cause: a host learned of the end of a load from the engine's next entry in the store, 1 to 2.3 s after a load of 0.94 s, and ordered nothing else there meanwhile.

Change: the engine is asked when the load is due by the moving average of load times, then every 250 ms; a version that was learned wakes the planner and the scheduler.

--- a/internal/rollout/loading/controller.go
+++ b/internal/rollout/loading/controller.go
@@ -22,9 +22,8 @@
 	// reconcileInterval is the time between two plans while the inventory does
 	// not change.
 	reconcileInterval = 250 * time.Millisecond
-	// loadTimeout is how long an accepted order may take before the status of the
-	// engine is queried. A load takes 0.9 s, longer if several engines load.
-	loadTimeout = 3 * time.Second
+	// loadWeight is the weight of a new load in the moving average of load times.
+	loadWeight = 0.25
 	// maxPermitAge is how old a permit may be when its order is sent. The store
 	// answers within this time even when it is 90 times slower than usual.
 	maxPermitAge = 500 * time.Millisecond
@@ -112,7 +111,10 @@
 	Inventory *inventory.Inventory
 	Logger    *slog.Logger
 	// Now is the clock; nil means time.Now.
-	Now      func() time.Time
+	Now func() time.Time
+	// OnLoaded is called when a query has found that an engine holds a version that this
+	// host ordered; it may be nil.
+	OnLoaded func(server inventory.Server, model string, version int64)
 	Registry OrderRegistry
 	// Self is the id of this host.
 	Self string
@@ -122,7 +124,9 @@
 	mu           sync.Mutex
 	orderCounter metric.Int64Counter
 	// idle is true while this host is not a controller host.
-	idle           bool
+	idle bool
+	// loadTime is the moving average of the time from an order to the end of its load.
+	loadTime       time.Duration
 	newestVersions map[string]int64
 	engines        map[string]*engineState
 	ownership      ownership
@@ -152,9 +156,9 @@
 	orderCount int64
 	// pending is true while the engine may be carrying out the last order.
 	pending bool
-	// waitingSince is when the last order was sent or the engine was last queried.
-	// The timeouts run from it.
-	waitingSince time.Time
+	// orderedAt is when the last order was sent, and queryAt when the engine is to be
+	// asked about its outcome, if nothing else has shown it by then.
+	orderedAt, queryAt time.Time
 	// startedAt is the start of the engine process to which this state applies.
 	startedAt      int64
 	orderedVersion int64
@@ -404,13 +408,13 @@
 			// reason, so its count of orders is unknown.
 			state.countKnown = state.countKnown && state.accepted
 			c.Logger.Info("engine holds the ordered version", slog.String("server", server.ID), slog.String("model", state.orderedModel),
-				slog.Int64("version", state.orderedVersion), slog.Duration("after", now.Sub(state.waitingSince)))
+				slog.Int64("version", state.orderedVersion), slog.Duration("after", now.Sub(state.orderedAt)))
 		}
 		if !state.pending {
 			continue
 		}
 		busy[server.ID] = true
-		if wait := now.Sub(state.waitingSince); wait > loadTimeout || !state.accepted && wait > unknownOutcomeTimeout {
+		if !now.Before(state.queryAt) {
 			unresolved = append(unresolved, server)
 		}
 	}
@@ -433,7 +437,9 @@
 		c.mu.Unlock()
 		return
 	}
-	state.accepted, state.orderedModel, state.pending, state.waitingSince, state.orderedVersion = false, order.Model, true, time.Now(), order.Version
+	now := c.now()
+	state.accepted, state.orderedModel, state.pending, state.orderedVersion = false, order.Model, true, order.Version
+	state.orderedAt, state.queryAt = now, now.Add(unknownOutcomeTimeout)
 	expected := state.orderCount
 	c.mu.Unlock()
 	verdict, err := c.Engines.Load(ctx, order, Authority{FencingToken: fencingToken, Holder: c.Self}, expected)
@@ -442,12 +448,12 @@
 	switch verdict {
 	case VerdictAccepted:
 		state.accepted, state.orderCount = true, expected+1
+		state.queryAt = state.orderedAt.Add(c.expectedLoadTime())
 	case VerdictHolds:
 		state.pending = false
 		c.Inventory.RecordVersion(order.Server.ID, order.Model, order.Version)
 	case VerdictRefused:
-		// Starting the wait earlier makes the next reconciliation query the engine.
-		state.waitingSince = state.waitingSince.Add(-unknownOutcomeTimeout)
+		state.queryAt = c.now()
 	}
 	if c.orderCounter != nil {
 		c.orderCounter.Add(ctx, 1, metric.WithAttributes(attribute.String("verdict", string(verdict))))
@@ -467,13 +473,20 @@
 		return // Another host owns the engine by now.
 	}
 	if err != nil {
-		state.waitingSince = time.Now()
+		state.queryAt = c.now().Add(unknownOutcomeTimeout)
 		c.Logger.LogAttrs(ctx, slog.LevelInfo, "could not read engine status", slog.String("server", server.ID), slog.Any("error", err))
 		return
 	}
 	state.countKnown, state.orderCount = true, status.Orders
-	state.pending = status.Busy
-	state.accepted, state.waitingSince = true, time.Now()
+	if loaded := status.Versions[state.orderedModel]; state.pending && !status.Busy && loaded >= state.orderedVersion {
+		if state.accepted {
+			c.observeLoadTime(c.now().Sub(state.orderedAt))
+		}
+		if c.OnLoaded != nil {
+			c.OnLoaded(server, state.orderedModel, loaded)
+		}
+	}
+	state.pending, state.accepted, state.queryAt = status.Busy, true, c.now().Add(reconcileInterval)
 	for model, version := range status.Versions {
 		c.Inventory.RecordVersion(server.ID, model, version)
 	}
@@ -481,6 +494,21 @@
 		slog.Bool("busy", status.Busy), slog.Int64("orders", status.Orders), slog.Any("versions", status.Versions))
 }
 
+// expectedLoadTime returns how long a load is expected to take. The caller holds c.mu.
+func (c *Controller) expectedLoadTime() time.Duration {
+	if c.loadTime == 0 {
+		return loadDuration
+	}
+	return c.loadTime
+}
+
+// observeLoadTime records the time from an order to the end of its load, as a query has
+// found it. The caller holds c.mu.
+func (c *Controller) observeLoadTime(took time.Duration) {
+	expected := c.expectedLoadTime()
+	c.loadTime = expected + time.Duration(loadWeight*float64(min(took, 2*expected)-expected))
+}
+
 func newOrderCounter(logger *slog.Logger) metric.Int64Counter {
 	counter, err := otel.Meter("nutmegway/loading").Int64Counter("nutmegway.loading.orders",
 		metric.WithDescription("Orders to model engines by verdict; an empty one is an answer that was lost."))
