--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -120,7 +120,6 @@
 	leaving            atomic.Bool
 	peers              *peer.Pool
 	liveMirror         *mirror.Mirror
-	mirrors            []*mirror.Mirror
 	// relayStore uses the key-value service through other hosts if it can't be reached
 	// directly. It is nil without a peer address.
 	relayStore       *kvrelay.Store
@@ -128,7 +127,8 @@
 	roster           *roster.Roster
 	runner           *batchrun.Runner
 	inventoryUpdater *inventoryUpdater
-	serverMirror     *mirror.Mirror
+	// serverMirror exists from SetUp on, since readiness depends on it.
+	serverMirror *mirror.Mirror
 	// store is relayStore, or DirectStore without a peer address.
 	store kv.RangeStore
 }
@@ -185,7 +185,7 @@
 		Spacing: h.Settings.OrderSpacing,
 	}
 	h.retirements = retirementResponder{IsResponsible: h.isResponsible, Decoder: h.Decoder, Logger: h.Logger, Store: h.store, wake: make(chan struct{}, 1)}
-	h.mirrors = h.newMirrors()
+	h.serverMirror = new(mirror.Mirror)
 }
 
 // Run serves until Drain is called or ctx ends.
@@ -214,10 +214,11 @@
 		return err
 	}
 	h.runner.Start(group)
+	mirrors := h.mirrors()
 	if h.Settings.PeerAddress != "" {
 		server := &peer.Server{Address: h.Settings.PeerAddress, Logger: h.Logger, Register: func(s *grpc.Server) {
 			batchlink.Register(s, h.Batches)
-			follow.Register(s, h.mirrors)
+			follow.Register(s, mirrors)
 			kvrelay.Register(s, h.relayStore)
 		}}
 		group.Go(func() error { return server.Run(groupCtx) })
@@ -226,7 +227,7 @@
 	supervise := func(ctx context.Context, task string, run func(context.Context) error) {
 		group.Go(func() error { return recovery.Supervise(ctx, h.Logger, task, run) })
 	}
-	for _, m := range h.mirrors {
+	for _, m := range mirrors {
 		supervise(groupCtx, "mirror of "+m.Prefix, m.Run)
 	}
 	supervise(groupCtx, "roster", h.roster.Run)
@@ -269,9 +270,9 @@
 	})
 }
 
-// newMirrors returns the mirrors of the operators' keys, the backend servers' entries and
+// mirrors returns the mirrors of the operators' keys, the backend servers' entries and
 // the live keys of the fleet.
-func (h *Host) newMirrors() []*mirror.Mirror {
+func (h *Host) mirrors() []*mirror.Mirror {
 	prefixes := h.Decoder.Prefixes()
 	h.liveMirror = &mirror.Mirror{CoalesceDelay: h.Settings.coalesceDelay(), Prefix: mirror.LivePrefix, WatchTimeout: sharedWatchWait, OnChange: func(c mirror.Change) {
 		h.roster.Apply(c)
@@ -280,13 +281,12 @@
 		h.poisonRegistry.Apply(c)
 		h.leavingBroadcaster.Apply(c)
 	}}
-	h.serverMirror = &mirror.Mirror{
-		HostsMirror: h.liveMirror, CoalesceDelay: h.Settings.coalesceDelay(), OnChange: h.inventoryUpdater.apply, Prefix: prefixes.Servers,
-		WatchTimeout: sharedWatchWait,
-	}
+	servers := h.serverMirror
+	servers.HostsMirror, servers.Prefix, servers.OnChange = h.liveMirror, prefixes.Servers, h.inventoryUpdater.apply
+	servers.CoalesceDelay, servers.WatchTimeout = h.Settings.coalesceDelay(), sharedWatchWait
 	mirrors := []*mirror.Mirror{
 		{HostsMirror: h.liveMirror, OnChange: h.applyOperatorChange, Prefix: prefixes.Operators, WatchTimeout: h.Settings.operatorWatchWait()},
-		h.serverMirror,
+		servers,
 		h.liveMirror,
 	}
 	compaction := new(mirror.CompactionSignal)
--- a/internal/rollout/loading/controller.go
+++ b/internal/rollout/loading/controller.go
@@ -111,10 +111,7 @@
 	Inventory *inventory.Inventory
 	Logger    *slog.Logger
 	// Now is the clock; nil means time.Now.
-	Now func() time.Time
-	// OnLoaded is called when a query has found that an engine holds a version that this
-	// host ordered; it may be nil.
-	OnLoaded func(server inventory.Server, model string, version int64)
+	Now      func() time.Time
 	Registry OrderRegistry
 	// Self is the id of this host.
 	Self string
@@ -478,13 +475,8 @@
 		return
 	}
 	state.countKnown, state.orderCount = true, status.Orders
-	if loaded := status.Versions[state.orderedModel]; state.pending && !status.Busy && loaded >= state.orderedVersion {
-		if state.accepted {
-			c.observeLoadTime(c.now().Sub(state.orderedAt))
-		}
-		if c.OnLoaded != nil {
-			c.OnLoaded(server, state.orderedModel, loaded)
-		}
+	if state.pending && state.accepted && !status.Busy && status.Versions[state.orderedModel] >= state.orderedVersion {
+		c.observeLoadTime(c.now().Sub(state.orderedAt))
 	}
 	state.pending, state.accepted, state.queryAt = status.Busy, true, c.now().Add(reconcileInterval)
 	for model, version := range status.Versions {
