--- a/internal/rollout/loading/loading_test.go
+++ b/internal/rollout/loading/loading_test.go
@@ -560,3 +560,67 @@
 		loading.Reconcile(b.Context(), c)
 	}
 }
+
+// laggingEngines are engines whose entries in the store show a load long after its end.
+type laggingEngines struct {
+	inventory *inventory.Inventory
+	// entryLag is the time from the end of a load to the entry that shows it.
+	entryLag time.Duration
+
+	mu     sync.Mutex
+	held   map[string]int64
+	orders []time.Time
+}
+
+func (e *laggingEngines) Load(_ context.Context, o loading.Order, _ loading.Authority, _ int64) (loading.Verdict, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = append(e.orders, time.Now())
+	time.AfterFunc(900*time.Millisecond, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.held[o.Server.ID] = o.Version
+	})
+	time.AfterFunc(900*time.Millisecond+e.entryLag, func() { e.inventory.Set(engine(o.Server.ID, o.Version)) })
+	return loading.VerdictAccepted, nil
+}
+
+func (e *laggingEngines) Status(_ context.Context, s inventory.Server) (loading.Status, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	held := e.held[s.ID]
+	busy := len(e.orders) > 0 && time.Since(e.orders[len(e.orders)-1]) < 900*time.Millisecond
+	return loading.Status{Busy: busy, Orders: int64(len(e.orders)), Versions: map[string]int64{"m": held}}, nil
+}
+
+// TestEndOfLoadIsNotAwaitedFromEntry publishes two versions in quick succession, as a
+// trainer does that catches up, while the engine's entry shows a load only a second after
+// its end. The second load has to follow the first one closely.
+func TestEndOfLoadIsNotAwaitedFromEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := &laggingEngines{entryLag: time.Second, held: map[string]int64{"a": 1}, inventory: &inventory.Inventory{}}
+		e.inventory.Set(engine("a", 1))
+		f := newFleet()
+		defer f.setHosts(t)
+		f.setHosts(t, "h1")
+		c := newController("h1", f, &fakeEngines{inventory: e.inventory})
+		c.Engines = e
+		c.SetHosts([]string{"h1"})
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { _ = c.Run(ctx) })
+		c.SetNewestVersion("m", 3)
+		time.Sleep(spacing + 2*time.Second) // a new owner waits out the orders of the one before
+		c.SetNewestVersion("m", 5)
+		time.Sleep(500 * time.Millisecond)
+		c.SetNewestVersion("m", 7)
+		time.Sleep(5 * time.Second)
+		cancel()
+		group.Wait()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		is.Equal(len(e.orders), 3)
+		is.True(e.orders[2].Sub(e.orders[1]) < 1500*time.Millisecond)
+	})
+}
