--- a/cmd/nutmegway/criticalpathcmd.go
+++ b/cmd/nutmegway/criticalpathcmd.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -48,11 +49,11 @@
 
 // formatCauses formats the times that are not zero, in the order of the causes.
 func formatCauses(spent map[criticalpath.Cause]time.Duration) string {
-	var text string
+	var text strings.Builder
 	for _, cause := range criticalpath.Causes() {
 		if spent[cause] > 0 {
-			text += fmt.Sprintf(" %s=%s", cause, spent[cause].Round(time.Millisecond))
+			fmt.Fprintf(&text, " %s=%s", cause, spent[cause].Round(time.Millisecond))
 		}
 	}
-	return text
+	return text.String()
 }
--- a/internal/rollout/criticalpath/criticalpath.go
+++ b/internal/rollout/criticalpath/criticalpath.go
@@ -196,12 +196,12 @@
 		last = last.Add(-duration(l, "silent"))
 	}
 	best, engine := duration(l, "best-pace"), duration(l, "server-pace")
-	intervals := time.Duration(events - 1)
+	intervals := int64(events - 1)
 	if best == 0 {
 		best = w.bestPace
 	}
-	w.until(earlier(w.at.Add(intervals*best), last), CauseGeneration)
-	w.until(earlier(w.at.Add(intervals*max(engine-best, 0)), last), CauseSlowEngine)
+	w.until(earlier(w.at.Add(times(best, intervals)), last), CauseGeneration)
+	w.until(earlier(w.at.Add(times(max(engine-best, 0), intervals)), last), CauseSlowEngine)
 	w.until(last, CauseSlowRun)
 	w.until(l.Time, CauseSilence)
 }
@@ -213,6 +213,8 @@
 	return CauseWait + "-" + Cause(obstacle)
 }
 
+func times(d time.Duration, n int64) time.Duration { return time.Duration(n * d.Nanoseconds()) }
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/rollout/loading/plan_test.go
+++ b/internal/rollout/loading/plan_test.go
@@ -77,16 +77,15 @@
 	return usable
 }
 
-// load carries out all orders of the plan and returns their number.
-func (tr *trainers) load(plan planner) (loads int) {
+// load carries out all orders of the plan.
+func (tr *trainers) load(plan planner) {
 	for {
 		orders := plan(tr.servers, tr.models, tr.newest, nil)
 		if len(orders) == 0 {
-			return loads
+			return
 		}
 		for _, o := range orders {
 			o.Server.Versions[o.Model] = o.Version
-			loads++
 		}
 	}
 }
