--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -290,10 +290,12 @@
 		h.liveMirror,
 	}
 	compaction := new(mirror.CompactionSignal)
+	// One source for all mirrors: a reader that fails one of them is left by the others too.
+	source := &follow.Source{Pool: h.peers, Roster: h.roster, Self: h.Settings.ID}
 	for _, m := range mirrors {
 		m.Compaction, m.Logger, m.Store = compaction, h.Logger, h.store
 		if h.Settings.PeerAddress != "" {
-			m.Source = &follow.Source{Pool: h.peers, Roster: h.roster, Self: h.Settings.ID}
+			m.Source = source
 			m.StaleLister, m.SettleDelay = h.store, settleDelay
 		}
 	}
