--- a/internal/request/route/hedge_test.go
+++ b/internal/request/route/hedge_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -76,9 +77,23 @@
 			},
 			servers: []server.Server{{Address: "a", ID: "engine-a", Service: service}, {Address: "b", ID: "engine-b", Service: service}},
 		}
+		// The answer goes by the attempt's ID, since a losing attempt of an earlier call may
+		// start late.
+		var attempts atomic.Int64
 		queues := &scriptedQueues{start: func(_ context.Context, a owner.Attempt) (owner.AttemptStream, error) {
-			time.Sleep(50 * time.Millisecond)
-			return &oneChunk{server: a.Server}, nil
+			switch id := a.Call.Request.ID; {
+			case strings.HasPrefix(id, "warm"):
+				time.Sleep(50 * time.Millisecond)
+				return &oneChunk{server: a.Server}, nil
+			case id == "hedged.1":
+				attempts.Add(1)
+				time.Sleep(time.Second)
+				return nil, kind.New(kind.OutcomeUnknown, "connection reset")
+			default:
+				attempts.Add(1)
+				time.Sleep(2 * time.Second)
+				return nil, kind.New(kind.Unavailable, "engine is leaving")
+			}
 		}}
 		v := view{fleet: f, self: member.Node{ID: "node"}}
 		dispatcher := &route.Dispatcher{
@@ -90,15 +105,6 @@
 			_, _, err := runCall(t.Context(), n, checkCall(fmt.Sprint("warm", i), "assess the extension", 10))
 			is.NoErr(err)
 		}
-		var attempts atomic.Int64
-		queues.start = func(context.Context, owner.Attempt) (owner.AttemptStream, error) {
-			if attempts.Add(1) == 1 {
-				time.Sleep(time.Second)
-				return nil, kind.New(kind.OutcomeUnknown, "connection reset")
-			}
-			time.Sleep(2 * time.Second)
-			return nil, kind.New(kind.Unavailable, "engine is leaving")
-		}
 		_, _, err := runCall(t.Context(), n, checkCall("hedged", "assess the extension", 10))
 		is.True(err != nil)
 		is.True(attempts.Load() >= 2)
