--- a/internal/rollout/loading/controller.go
+++ b/internal/rollout/loading/controller.go
@@ -22,8 +22,8 @@
 	// reconcileInterval is the time between two plans while the inventory does
 	// not change.
 	reconcileInterval = 250 * time.Millisecond
-	// loadWeight is the weight of a new load in the moving average of load times.
-	loadWeight = 0.25
+	// loadTimeSmoothing is the weight of a new load in the moving average of load times.
+	loadTimeSmoothing = 0.25
 	// maxPermitAge is how old a permit may be when its order is sent. The store
 	// answers within this time even when it is 90 times slower than usual.
 	maxPermitAge = 500 * time.Millisecond
@@ -498,7 +498,7 @@
 // found it. The caller holds c.mu.
 func (c *Controller) observeLoadTime(took time.Duration) {
 	expected := c.expectedLoadTime()
-	c.loadTime = expected + time.Duration(loadWeight*float64(min(took, 2*expected)-expected))
+	c.loadTime = expected + time.Duration(loadTimeSmoothing*float64(min(took, 2*expected)-expected))
 }
 
 func newOrderCounter(logger *slog.Logger) metric.Int64Counter {
