Log which request limits servers name, and what was sent under them

No log line or metric told which limit a server named to which host, or how many requests of which purpose it got since. Each request to a server now passes one gate in the HTTP client, which only counts.

--- a/internal/backend/dialect/dialect.go
+++ b/internal/backend/dialect/dialect.go
@@ -2,7 +2,11 @@
 // use.
 package dialect
 
-import "net/http"
+import (
+	"math"
+	"net/http"
+	"strconv"
+)
 
 // Dialect holds header names. An empty name means that the servers don't support the
 // header.
@@ -21,6 +25,10 @@
 	// NotRun is the response header that marks an answer of a server that did not run the
 	// request.
 	NotRun string
+	// RequestLimit is the response header with the number of requests per second, a decimal
+	// number, that the server accepts from all hosts together. A server without a limit
+	// omits it.
+	RequestLimit string
 	// ResumeAfter is the request header with the id of the last event that the caller
 	// received.
 	ResumeAfter string
@@ -40,3 +48,16 @@
 	value := header.Get(d.Leaving)
 	return value != "" && value != "0"
 }
+
+// ParseRequestLimit returns the number of requests per second that the server accepts from
+// all hosts together. It returns false if the header names no limit or a malformed one.
+func (d Dialect) ParseRequestLimit(header http.Header) (perSecond float64, ok bool) {
+	if d.RequestLimit == "" {
+		return 0, false
+	}
+	perSecond, err := strconv.ParseFloat(header.Get(d.RequestLimit), 64)
+	if err != nil || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
+		return 0, false
+	}
+	return perSecond, true
+}
--- a/internal/backend/generation/generation.go
+++ b/internal/backend/generation/generation.go
@@ -187,7 +187,7 @@
 	return plain.Request{
 		Body: bytes.NewReader(r.Body), Header: header, Host: r.Host, Length: int64(len(r.Body)),
 		BeforeSend: r.BeforeSend,
-		Method:     http.MethodPost, RequestID: r.ID, Server: r.Server, Target: r.Target,
+		Method:     http.MethodPost, Purpose: plain.PurposeItem, RequestID: r.ID, Server: r.Server, Target: r.Target,
 	}
 }
 
--- a/internal/backend/inventory/inventory.go
+++ b/internal/backend/inventory/inventory.go
@@ -61,6 +61,8 @@
 	// BackingOff is true while new work should go to other servers, after a failure or
 	// because the server was full.
 	BackingOff bool
+	// RequestLimit is the limit that the server has named in its answers.
+	RequestLimit RequestLimit
 }
 
 // observations holds what this host has observed of one server.
@@ -74,6 +76,7 @@
 	// versions holds the weight versions that answers carried since the entry was set.
 	// They override those of the entry.
 	versions map[string]int64
+	limit    observedLimit
 }
 
 // leaveNotice records that a server has announced that it is leaving. The server's entry
@@ -303,6 +306,7 @@
 		c := Candidate{Server: s, ReportedRequests: -1}
 		if seen := v.observedByID[id]; seen != nil {
 			c.InFlight, c.EventInterval, c.BackingOff = seen.inFlight, seen.eventInterval, now.Before(seen.backoffUntil)
+			c.RequestLimit = seen.limit.RequestLimit
 			if now.Sub(seen.reportedAt) < maxReportAge {
 				c.ReportedRequests = seen.reportedRequests
 			}
--- a/internal/backend/plain/client.go
+++ b/internal/backend/plain/client.go
@@ -52,6 +52,8 @@
 	// because the server may close a reused one as idle while the request is being sent.
 	// It would then be unknown whether the request ran.
 	AtMostOnce bool
+	// Purpose is what the request is for. It appears in metrics and logs.
+	Purpose Purpose
 	// RequestID is sent in a header. An answer that carries a different one belongs to
 	// another request and is an error.
 	RequestID string
@@ -61,6 +63,26 @@
 	Target string
 }
 
+// Purpose is what a request to a server is for.
+type Purpose string
+
+// The purposes of requests.
+const (
+	PurposeItem   Purpose = "item"
+	PurposeOrder  Purpose = "order"
+	PurposeSingle Purpose = "single"
+	PurposeStatus Purpose = "status"
+)
+
+// Gate controls which requests are sent to a server.
+type Gate interface {
+	// Admit returns an error of Ran no if the request must not be sent now.
+	Admit(ctx context.Context, server string, purpose Purpose) error
+	// Observe handles the header of an answer of the server. sent is when its request was
+	// admitted.
+	Observe(server string, header http.Header, sent time.Time)
+}
+
 // Client sends requests. The fields are set before the first call.
 type Client struct {
 	// ConnectTimeout bounds the time to connect to a server; zero means
@@ -68,6 +90,8 @@
 	ConnectTimeout time.Duration
 	// Dial opens a connection; nil means DialContext of a zero net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Gate, if not nil, admits each request whose Request.Server is set.
+	Gate Gate
 	// IsLeaving, if not nil, reports whether the header of an answer announces that its
 	// server is leaving. Connections to that server are then closed once they are idle.
 	IsLeaving func(header http.Header) bool
@@ -95,6 +119,10 @@
 		// After a pause of the process, this may run before the context's timer has fired.
 		return nil, kind.New(kind.DeadlineUnmet, "the deadline passed before the request was sent")
 	}
+	if err := c.admit(ctx, request); err != nil {
+		return nil, err
+	}
+	admitted := time.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	tracker := &sendTracker{cancel: cancel, beforeSend: request.BeforeSend}
 	outgoing, err := newRequest(ctx, address, request, tracker)
@@ -116,6 +144,10 @@
 		_ = response.Body.Close()
 		return nil, kind.New(kind.OutcomeUnknown, "server answered request %q with the id of another request", request.RequestID)
 	}
+	if c.Gate != nil && request.Server != "" && response.StatusCode != http.StatusMisdirectedRequest {
+		// A misdirected request was answered by another server.
+		c.Gate.Observe(request.Server, response.Header, admitted)
+	}
 	if c.IsLeaving != nil && c.IsLeaving(response.Header) {
 		c.conns.closeWhenIdle(address)
 		if c.OnLeaving != nil && request.Server != "" {
@@ -126,6 +158,13 @@
 	return response, nil
 }
 
+func (c *Client) admit(ctx context.Context, request Request) error {
+	if c.Gate == nil || request.Server == "" {
+		return nil
+	}
+	return c.Gate.Admit(ctx, request.Server, request.Purpose)
+}
+
 // Probe checks whether a process listens at address, an IP address and port.
 func (c *Client) Probe(ctx context.Context, address string) probe.Result {
 	c.once.Do(c.setUp)
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -31,6 +31,7 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/fleet/roster"
 	"github.com/nutmegway/nutmegway/internal/request/forward"
+	"github.com/nutmegway/nutmegway/internal/request/permit"
 	"github.com/nutmegway/nutmegway/internal/request/poison"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
 	"github.com/nutmegway/nutmegway/internal/rollout/batchlink"
@@ -147,6 +148,7 @@
 	h.leavingBroadcaster = &leaving.Broadcaster{Inventory: h.inventory, Logger: h.Logger, Store: h.store}
 	h.Plain.IsLeaving = h.Dialect.IsLeaving
 	h.Plain.OnLeaving = h.leavingBroadcaster.ServerLeaving
+	h.Plain.Gate = &permit.Gate{Dialect: h.Dialect, Inventory: h.inventory, Logger: h.Logger}
 	h.inventoryUpdater = &inventoryUpdater{Decoder: h.Decoder, Inventory: h.inventory, Logger: h.Logger}
 	h.poisonRegistry = &poison.KVRegistry{
 		MayRemove: h.isResponsible, HostCount: func() int { return len(h.roster.Active()) }, Logger: h.Logger, Store: h.store,
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -203,7 +203,7 @@
 	response, err := f.Client.Do(ctx, candidate.Address, plain.Request{
 		Body: bytes.NewReader(request.Body), Header: header, Host: request.Host, Length: int64(len(request.Body)),
 		BeforeSend: func() error { return f.Inventory.CheckAvailable(candidate.ID) },
-		Method:     request.Method, AtMostOnce: atMostOnce, RequestID: request.ID, Server: candidate.ID, Target: request.Target,
+		Method:     request.Method, AtMostOnce: atMostOnce, Purpose: plain.PurposeSingle, RequestID: request.ID, Server: candidate.ID, Target: request.Target,
 	})
 	if err != nil {
 		if ctx.Err() == nil {
