Let one host grant the permits of a server that names a request limit

What callers saw: nothing yet; a backend server in need got up to twelve times what it had said that it takes, which is how it goes down for all of them.

Cause: nothing read the limit. The class is a limit that is kept by a smaller thing than it is a limit of: load and requests in flight are known to each host alone, a request limit holds for all hosts together.

Ruled out: a limit that only some requests are held to. The counts by purpose under a limit show single requests, items, orders and status queries alike over it on every host that was told.

Change: every request to a server passes one gate in the HTTP client. For a limited server it claims a permit from the server's allotter, one host with one token bucket; while that host doesn't answer, each uses its share. A request without a permit goes elsewhere or is rejected at once, not run, with the time of the next permit as Retry-After.

Test, failing first on the commit before: TestLimitedServersGetNoMoreThanTheyNamed, 181 requests in 4 s at a server of 1 a second, 11 allowed; now 4, 9, 9 and 13 for 11, 17, 17 and 23, and at least half of each limit is used.

--- a/internal/backend/generation/generation.go
+++ b/internal/backend/generation/generation.go
@@ -18,7 +18,6 @@
 
 	"github.com/nutmegway/nutmegway/internal/backend/dialect"
 	"github.com/nutmegway/nutmegway/internal/backend/plain"
-	"github.com/nutmegway/nutmegway/internal/base/kind"
 )
 
 var classError = errs.Class("generation")
@@ -93,7 +92,8 @@
 	OutcomeFailed Outcome = "failed"
 	// OutcomeImpossible means that the server answered that no run of the item can succeed.
 	OutcomeImpossible Outcome = "impossible"
-	// OutcomeNotRun means that the server refused the request and did not run the item.
+	// OutcomeNotRun means that the server refused the request and did not run the item, or
+	// that the request was not sent because of the server's request limit.
 	OutcomeNotRun Outcome = "not-run"
 	// OutcomeStalled means that the run was cancelled because an event was overdue.
 	OutcomeStalled Outcome = "stalled"
@@ -216,8 +216,8 @@
 		return OutcomeStalled, errEventTimeout
 	case ctx.Err() != nil:
 		return OutcomeStopped, context.Cause(ctx)
-	case kind.Of(err).Kind == kind.Unavailable && kind.Of(err).Ran == kind.RanNo:
-		return OutcomeBroken, err
+	case errors.Is(err, plain.ErrNotAdmitted):
+		return OutcomeNotRun, err
 	default:
 		return OutcomeBroken, err
 	}
--- a/internal/backend/inventory/limit.go
+++ b/internal/backend/inventory/limit.go
@@ -17,32 +17,32 @@
 	receivedAt time.Time
 }
 
-// RecordRequestLimit records the limit that an answer of a server named, and returns the
-// one that was in force before. An answer without a limit ends the limit, unless its request
-// was sent before the answer that named it was received: answers on different connections
-// may overtake each other.
-func (v *Inventory) RecordRequestLimit(id string, limit RequestLimit, sent time.Time) RequestLimit {
+// RecordRequestLimit records the limit that an answer of a server named. It returns the one
+// that was in force before and whether it has changed. An answer without a limit ends the
+// limit, unless its request was sent before the answer that named it was received: answers
+// on different connections may overtake each other.
+func (v *Inventory) RecordRequestLimit(id string, limit RequestLimit, sent time.Time) (before RequestLimit, changed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	seen := v.observedByID[id]
 	if seen == nil && !limit.Named {
-		return RequestLimit{}
+		return RequestLimit{}, false
 	}
 	seen = v.observed(id)
-	before := seen.limit.RequestLimit
+	before = seen.limit.RequestLimit
 	if !limit.Named && sent.Before(seen.limit.receivedAt) {
-		return before
+		return before, false
 	}
 	seen.limit = observedLimit{RequestLimit: limit, receivedAt: v.now()}
-	return before
+	return before, before != limit
 }
 
-// RequestLimitOf returns the limit in force at a server.
-func (v *Inventory) RequestLimitOf(id string) RequestLimit {
+// RequestLimitOf returns the limit in force at a server and when its latest answer named it.
+func (v *Inventory) RequestLimitOf(id string) (limit RequestLimit, observedAt time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if seen := v.observedByID[id]; seen != nil {
-		return seen.limit.RequestLimit
+		return seen.limit.RequestLimit, seen.limit.receivedAt
 	}
-	return RequestLimit{}
+	return RequestLimit{}, time.Time{}
 }
--- a/internal/backend/plain/client.go
+++ b/internal/backend/plain/client.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -76,13 +77,32 @@
 
 // Gate controls which requests are sent to a server.
 type Gate interface {
-	// Admit returns an error of Ran no if the request must not be sent now.
-	Admit(ctx context.Context, server string, purpose Purpose) error
+	// Admit returns a permit for a request, or an error from [NewNotAdmitted] if it must
+	// not be sent now.
+	Admit(ctx context.Context, server string, purpose Purpose) (Permit, error)
 	// Observe handles the header of an answer of the server. sent is when its request was
 	// admitted.
 	Observe(server string, header http.Header, sent time.Time)
 }
 
+// Permit allows a request to be sent.
+type Permit struct {
+	// Check, if not nil, is called right before the request is sent. It returns an error if
+	// the permit has expired.
+	Check func() error
+}
+
+// ErrNotAdmitted is in the chain of the error of a request that its gate did not admit.
+var ErrNotAdmitted = classError.New("request not admitted")
+
+// NewNotAdmitted returns the error of a request that its gate did not admit. retryAfter is
+// when it may be admitted.
+func NewNotAdmitted(retryAfter time.Duration, format string, args ...any) error {
+	return &kind.Error{
+		Cause: ErrNotAdmitted, Kind: kind.Unavailable, Message: fmt.Sprintf(format, args...), Ran: kind.RanNo, RetryAfter: retryAfter,
+	}
+}
+
 // Client sends requests. The fields are set before the first call.
 type Client struct {
 	// ConnectTimeout bounds the time to connect to a server; zero means
@@ -119,12 +139,13 @@
 		// After a pause of the process, this may run before the context's timer has fired.
 		return nil, kind.New(kind.DeadlineUnmet, "the deadline passed before the request was sent")
 	}
-	if err := c.admit(ctx, request); err != nil {
+	permit, err := c.admit(ctx, request)
+	if err != nil {
 		return nil, err
 	}
 	admitted := time.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
-	tracker := &sendTracker{cancel: cancel, beforeSend: request.BeforeSend}
+	tracker := &sendTracker{cancel: cancel, beforeSend: func() error { return firstError(permit.Check, request.BeforeSend) }}
 	outgoing, err := newRequest(ctx, address, request, tracker)
 	if err != nil {
 		cancel(err)
@@ -144,25 +165,44 @@
 		_ = response.Body.Close()
 		return nil, kind.New(kind.OutcomeUnknown, "server answered request %q with the id of another request", request.RequestID)
 	}
-	if c.Gate != nil && request.Server != "" && response.StatusCode != http.StatusMisdirectedRequest {
-		// A misdirected request was answered by another server.
-		c.Gate.Observe(request.Server, response.Header, admitted)
+	c.observe(address, request.Server, response, admitted)
+	removeHopByHop(response.Header)
+	return response, nil
+}
+
+func (c *Client) admit(ctx context.Context, request Request) (Permit, error) {
+	if c.Gate == nil || request.Server == "" {
+		return Permit{}, nil
+	}
+	return c.Gate.Admit(ctx, request.Server, request.Purpose)
+}
+
+// observe handles what the header of an answer says of its server. admitted is when the
+// request was admitted.
+func (c *Client) observe(address, server string, response *http.Response, admitted time.Time) {
+	// A misdirected request was answered by another server.
+	if c.Gate != nil && server != "" && response.StatusCode != http.StatusMisdirectedRequest {
+		c.Gate.Observe(server, response.Header, admitted)
 	}
 	if c.IsLeaving != nil && c.IsLeaving(response.Header) {
 		c.conns.closeWhenIdle(address)
-		if c.OnLeaving != nil && request.Server != "" {
-			c.OnLeaving(request.Server)
+		if c.OnLeaving != nil && server != "" {
+			c.OnLeaving(server)
 		}
 	}
-	removeHopByHop(response.Header)
-	return response, nil
 }
 
-func (c *Client) admit(ctx context.Context, request Request) error {
-	if c.Gate == nil || request.Server == "" {
-		return nil
+// firstError calls the checks in order and returns the first error. A nil check passes.
+func firstError(checks ...func() error) error {
+	for _, check := range checks {
+		if check == nil {
+			continue
+		}
+		if err := check(); err != nil {
+			return err
+		}
 	}
-	return c.Gate.Admit(ctx, request.Server, request.Purpose)
+	return nil
 }
 
 // Probe checks whether a process listens at address, an IP address and port.
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -32,6 +32,7 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/roster"
 	"github.com/nutmegway/nutmegway/internal/request/forward"
 	"github.com/nutmegway/nutmegway/internal/request/permit"
+	"github.com/nutmegway/nutmegway/internal/request/permitlink"
 	"github.com/nutmegway/nutmegway/internal/request/poison"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
 	"github.com/nutmegway/nutmegway/internal/rollout/batchlink"
@@ -115,6 +116,7 @@
 	drain              chan struct{}
 	drainOnce          sync.Once
 	crashDetector      *crashdetect.Detector
+	gate               *permit.Gate
 	leavingBroadcaster *leaving.Broadcaster
 	loadController     *loading.Controller
 	inventory          *inventory.Inventory
@@ -148,7 +150,13 @@
 	h.leavingBroadcaster = &leaving.Broadcaster{Inventory: h.inventory, Logger: h.Logger, Store: h.store}
 	h.Plain.IsLeaving = h.Dialect.IsLeaving
 	h.Plain.OnLeaving = h.leavingBroadcaster.ServerLeaving
-	h.Plain.Gate = &permit.Gate{Dialect: h.Dialect, Inventory: h.inventory, Logger: h.Logger}
+	h.gate = &permit.Gate{
+		Dialect: h.Dialect, Hosts: func() []roster.Host { return h.roster.Active() }, Inventory: h.inventory, Logger: h.Logger, Self: h.Settings.ID,
+	}
+	if h.Settings.PeerAddress != "" {
+		h.gate.Link = permitlink.Client{Pool: h.peers}
+	}
+	h.Plain.Gate = h.gate
 	h.inventoryUpdater = &inventoryUpdater{Decoder: h.Decoder, Inventory: h.inventory, Logger: h.Logger}
 	h.poisonRegistry = &poison.KVRegistry{
 		MayRemove: h.isResponsible, HostCount: func() int { return len(h.roster.Active()) }, Logger: h.Logger, Store: h.store,
@@ -222,6 +230,7 @@
 			batchlink.Register(s, h.Batches)
 			follow.Register(s, mirrors)
 			kvrelay.Register(s, h.relayStore)
+			permitlink.Register(s, h.gate)
 		}}
 		group.Go(func() error { return server.Run(groupCtx) })
 		defer func() { _ = h.peers.Close() }()
--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/nutmegway/nutmegway/internal/backend/crashdetect"
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
+	"github.com/nutmegway/nutmegway/internal/backend/plain"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/base/recovery"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
@@ -56,6 +57,9 @@
 // recordEnd records the outcome of an attempt.
 func (x *exchange) recordEnd(ctx context.Context, a answer) {
 	x.attempts.recordEnd(a.ran)
+	if errors.Is(a.err, plain.ErrNotAdmitted) {
+		x.attempts.recordNoPermit(kind.Of(a.err).RetryAfter)
+	}
 	outcome := attemptAnswered
 	switch {
 	case a.ran == kind.RanNo:
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -206,7 +206,10 @@
 		Method:     request.Method, AtMostOnce: atMostOnce, Purpose: plain.PurposeSingle, RequestID: request.ID, Server: candidate.ID, Target: request.Target,
 	})
 	if err != nil {
-		if ctx.Err() == nil {
+		switch {
+		case errors.Is(err, plain.ErrNotAdmitted):
+			f.Inventory.BackOff(candidate.ID, kind.Of(err).RetryAfter)
+		case ctx.Err() == nil:
 			f.Inventory.RecordFailure(candidate.ID)
 		}
 		return answer{server: candidate.Server, err: err, ran: kind.Of(err).Ran}
--- a/internal/request/forward/policy.go
+++ b/internal/request/forward/policy.go
@@ -34,6 +34,9 @@
 	// idle connection open. Together with crossZoneCost it is about the cost of one
 	// request beyond idleShare at a server with six slots.
 	notPreferredCost = 0.08
+	// limitedCost is added for a server with a request limit, so that it gets requests only
+	// once the other servers are nearly full.
+	limitedCost = 0.5
 	// maxRefusalsPerAttempt bounds the attempts that servers refuse, as a multiple of
 	// the route's maximum of attempts.
 	maxRefusalsPerAttempt = 2
@@ -56,6 +59,9 @@
 	// sequential allows only one pending attempt at a time.
 	sequential bool
 	pending    int
+	// nextPermit is the shortest time until a server that did not get the request because
+	// of its request limit may get it; zero if there was none.
+	nextPermit time.Duration
 	// tried holds the ids of the servers of all attempts.
 	tried map[string]struct{}
 }
@@ -139,6 +145,9 @@
 	if candidate.ID != preferred {
 		cost += notPreferredCost + rand.Float64()*crossZoneCost/2
 	}
+	if candidate.RequestLimit.Named {
+		cost += limitedCost
+	}
 	if candidate.BackingOff {
 		cost += backoffCost
 	}
@@ -164,6 +173,14 @@
 	a.mayHaveRun++
 }
 
+// recordNoPermit records that the request did not go to a server because of its request
+// limit, and may go there after wait.
+func (a *attempts) recordNoPermit(wait time.Duration) {
+	if a.nextPermit == 0 || wait < a.nextPermit {
+		a.nextPermit = wait
+	}
+}
+
 // hedgeDelay returns the delay after which the request is also sent to a second server. It
 // returns false if the request is not hedged.
 func (a *attempts) hedgeDelay() (time.Duration, bool) {
@@ -175,7 +192,7 @@
 
 // failure returns the error when no server answered and no further attempt is possible.
 func (a *attempts) failure() error {
-	retryAfter := minRetryAfter + rand.N(retryAfterSpread)
+	retryAfter := max(minRetryAfter, a.nextPermit) + rand.N(retryAfterSpread)
 	if a.mayHaveRun > 0 {
 		return kind.New(kind.OutcomeUnknown, "no answer from any backend server: the request may have run at %d of %d tried", a.mayHaveRun, len(a.tried))
 	}
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -11,6 +11,8 @@
 
 	"github.com/nutmegway/nutmegway/internal/backend/generation"
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
+	"github.com/nutmegway/nutmegway/internal/backend/plain"
+	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
 	"github.com/nutmegway/nutmegway/internal/request/forward"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
@@ -349,7 +351,7 @@
 		br.runner.failures.add(s.item.ID, max(route.MaxAttempts, 1))
 		br.finish(s, batch.Result{Item: s.item.ID, State: batch.StateDead})
 	case generation.OutcomeNotRun:
-		inv.BackOff(engine.ID, rejectionBackoff)
+		inv.BackOff(engine.ID, notRunBackoff(err))
 	case generation.OutcomeStopped:
 	case generation.OutcomeBroken, generation.OutcomeStalled:
 		s.avoidEngine = engine.ID
@@ -359,6 +361,14 @@
 	}
 }
 
+// notRunBackoff returns how long an engine gets no further items after it did not run one.
+func notRunBackoff(err error) time.Duration {
+	if errors.Is(err, plain.ErrNotAdmitted) {
+		return kind.Of(err).RetryAfter
+	}
+	return rejectionBackoff
+}
+
 // complete finishes an item as completed with its text and score. The caller holds the
 // runner's mutex.
 func (br *batchRun) complete(s *itemState, score string) {
--- a/internal/rollout/placing/placing.go
+++ b/internal/rollout/placing/placing.go
@@ -181,11 +181,11 @@
 	return exceedsRatio(run.EventInterval, slowRatio, medianInterval) || run.Events >= LongRunEvents && exceedsRatio(run.EventInterval, longRunRatio, medianInterval)
 }
 
-// HasFaster reports whether an engine that meets the demand has a free slot and
-// is known to be faster than the run by more than longRunRatio.
+// HasFaster reports whether an engine that meets the demand has a free slot and no request
+// limit, and is known to be faster than the run by more than longRunRatio.
 func HasFaster(candidates []inventory.Candidate, demand Demand, run Run) bool {
 	for _, c := range candidates {
-		free := !c.BackingOff && SlotsInUse(c) < maxOccupancy*float64(c.Slots)
+		free := !c.BackingOff && !c.RequestLimit.Named && SlotsInUse(c) < maxOccupancy*float64(c.Slots)
 		if free && c.ID != demand.Avoid && AllowsVersion(c, demand) && c.EventInterval > 0 && exceedsRatio(run.EventInterval, longRunRatio, c.EventInterval) {
 			return true
 		}
