--- a/internal/backend/inventory/inventory.go
+++ b/internal/backend/inventory/inventory.go
@@ -37,6 +37,9 @@
 	ID       string
 	Service  string
 	Slots    int
+	// Software is the version of the server's software. Streams that servers of different
+	// versions wrote don't fit together.
+	Software string
 	// Started is the start time of the server in Unix milliseconds, or zero if it isn't
 	// known. It distinguishes successive starts under the same id.
 	Started int64
--- a/internal/entry/host/updates.go
+++ b/internal/entry/host/updates.go
@@ -71,9 +71,9 @@
 		}
 		before, known := u.Inventory.Get(id)
 		if !known || before.Draining != server.Draining || before.Address != server.Address ||
-			before.Started != server.Started || !maps.Equal(before.Versions, server.Versions) {
+			before.Started != server.Started || before.Software != server.Software || !maps.Equal(before.Versions, server.Versions) {
 			u.Logger.Info("server changed", slog.String("server", id), slog.String("service", server.Service),
-				slog.String("address", server.Address), slog.Bool("draining", server.Draining),
+				slog.String("address", server.Address), slog.Bool("draining", server.Draining), slog.String("software", server.Software),
 				slog.Any("versions", server.Versions),
 				slog.Int64("revision", event.Entry.ModRevision))
 		}
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -59,6 +59,8 @@
 	// got none at the last try.
 	readySince time.Time
 	obstacle   placing.Obstacle
+	// software are the software versions of the engines that generated the events.
+	software []string
 	// versions are the weight versions that generated the events, ascending.
 	versions []int64
 	// textComplete is set once the text is complete.
@@ -202,7 +204,7 @@
 }
 
 // reset discards the partial text, so that the next run generates it from the start.
-func (s *itemState) reset() { s.events, s.lastEventID, s.versions = nil, "", nil }
+func (s *itemState) reset() { s.events, s.lastEventID, s.software, s.versions = nil, "", nil, nil }
 
 // runStart is the decision to run an item.
 type runStart struct {
@@ -234,7 +236,7 @@
 	}, func(load string) {
 		r.Inventory.RecordAnswer(engine.ID, forward.ParseLoad(load))
 	}, func(event generation.Event) error {
-		return br.onEvent(s, engine.ID, start.service, &tracker, event)
+		return br.onEvent(s, engine.Server, start.service, &tracker, event)
 	})
 	r.metrics.recordRun(outcome, time.Since(began))
 	r.mu.Lock()
@@ -243,7 +245,7 @@
 		r.Logger.Info("item run ended", slog.String("item", s.item.ID), slog.String("batch", br.batch.ID),
 			slog.String("server", engine.ID), slog.String("outcome", string(outcome)), slog.Any("error", err),
 			slog.Duration("after", time.Since(began)), slog.Int("events", len(s.events)-eventsBefore),
-			slog.Int("events-in-all", len(s.events)), slog.Int("hint", s.item.LengthHint),
+			slog.Int("events-in-all", len(s.events)), slog.Any("software", s.software), slog.Int("hint", s.item.LengthHint),
 			slog.Int("tokens", s.item.Tokens), slog.Duration("pace", tracker.meanInterval), slog.Duration("server-pace", engine.EventInterval),
 			slog.Duration("best-pace", start.bestPace), slog.Duration("waited", start.waited), slog.String("waited-for", string(start.obstacle)),
 			slog.Duration("to-first-event", tracker.toFirstEvent(began)), slog.Duration("silent", tracker.silence(began)))
@@ -265,27 +267,30 @@
 // onEvent adds an event to the text of an item. An error ends the run:
 // errStaleVersion if the weight version of the event is too old for the batch,
 // errSlow if the item moves to another engine.
-func (br *batchRun) onEvent(s *itemState, server, service string, tracker *intervalTracker, event generation.Event) error {
+func (br *batchRun) onEvent(s *itemState, server inventory.Server, service string, tracker *intervalTracker, event generation.Event) error {
 	r := br.runner
 	if event.Version > 0 {
-		r.Inventory.RecordVersion(server, br.batch.Model, event.Version)
+		r.Inventory.RecordVersion(server.ID, br.batch.Model, event.Version)
 		if event.Version < br.batch.MinVersion {
 			return errStaleVersion
 		}
 	}
 	interval, ok := tracker.observe(time.Now())
 	if ok {
-		r.Inventory.RecordEventInterval(server, interval)
+		r.Inventory.RecordEventInterval(server.ID, interval)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s.events = append(s.events, event.Data)
 	s.lastEventID = event.ID
+	if !slices.Contains(s.software, server.Software) {
+		s.software = append(s.software, server.Software)
+	}
 	if !slices.Contains(s.versions, event.Version) {
 		s.versions = append(s.versions, event.Version)
 		slices.Sort(s.versions)
 	}
-	if br.shouldMove(s, server, service, tracker) {
+	if br.shouldMove(s, server.ID, service, tracker) {
 		s.moves++
 		return errSlow
 	}
