Let a text go on only at the software version that began it

What callers saw: results of batches whose first part was written by one version of a back end's software and whose rest by another, with nothing to show it.

Cause: a broken run went on at any engine that holds the weights, and a text that was kept for the next owner of its batch didn't say what wrote it.

Ruled out: an engine that is chosen by the wrong service or weights; the counts of completed items with two software versions follow from the choice alone.

Change: an item remembers the software version of its text, in memory and in the store, and only engines of that version may continue it. It waits for one that is busy; if there is none, it starts over. An engine that comes back under its id with other software while a run is at it makes the text start over too.

Tests, failing first: TestTextIsNotJoinedFromTwoSoftwareVersions, TestKeptTextIsNotJoinedFromTwoSoftwareVersions, TestServerThatCameBackWithOtherSoftwareDoesNotGoOn.

--- a/internal/rollout/batch/partial.go
+++ b/internal/rollout/batch/partial.go
@@ -16,10 +16,13 @@
 	Events []string `json:"events"`
 	// Failures is the number of runs of the item that failed at a backend
 	// server.
-	Failures  int     `json:"failures,omitempty"`
-	Item      string  `json:"item"`
-	LastEvent string  `json:"last-event"`
-	Versions  []int64 `json:"versions"`
+	Failures  int    `json:"failures,omitempty"`
+	Item      string `json:"item"`
+	LastEvent string `json:"last-event"`
+	// Software is the software version of the servers that generated the events. Only
+	// servers of the same version may resume the stream.
+	Software string  `json:"software,omitempty"`
+	Versions []int64 `json:"versions"`
 	// TextComplete is set if the text is complete and only its score is missing.
 	TextComplete bool `json:"whole,omitempty"`
 }
--- a/internal/rollout/batchrun/append.go
+++ b/internal/rollout/batchrun/append.go
@@ -212,7 +212,7 @@
 		}
 		partials = append(partials, batch.Partial{
 			Events: slices.Clone(s.events), Failures: failures, Item: s.item.ID, LastEvent: s.lastEventID,
-			Versions: slices.Clone(s.versions), TextComplete: s.textComplete,
+			Software: s.software, Versions: slices.Clone(s.versions), TextComplete: s.textComplete,
 		})
 	}
 	return partials
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -59,8 +59,8 @@
 	// got none at the last try.
 	readySince time.Time
 	obstacle   placing.Obstacle
-	// software are the software versions of the engines that generated the events.
-	software []string
+	// software is the software version of the engines that generated the events.
+	software string
 	// versions are the weight versions that generated the events, ascending.
 	versions []int64
 	// textComplete is set once the text is complete.
@@ -132,7 +132,7 @@
 		// Partials of an earlier save may hold a shorter text of the same item.
 		if i, ok := br.byID[p.Item]; ok && !br.items[i].done && len(p.Events) > len(br.items[i].events) {
 			br.items[i].events, br.items[i].lastEventID, br.items[i].versions = p.Events, p.LastEvent, p.Versions
-			br.items[i].textComplete = p.TextComplete
+			br.items[i].software, br.items[i].textComplete = p.Software, p.TextComplete
 		}
 	}
 	br.startOrder = placing.StartOrder(b.Items)
@@ -175,12 +175,13 @@
 		engine, ok := placing.Choose(candidates, demand)
 		if !ok {
 			s.obstacle = placing.FindObstacle(candidates, demand)
-			if demand.OnlyVersion > 0 {
-				// No engine can continue the text in its weight version now, so
-				// generation starts over.
-				s.reset()
+			if !br.startsOver(s, demand) {
+				continue
+			}
+			s.reset()
+			if engine, ok = placing.Choose(candidates, br.demand(s, route.SingleVersion)); !ok {
+				continue
 			}
-			continue
 		}
 		for j := range candidates {
 			if candidates[j].ID == engine.ID {
@@ -203,8 +204,24 @@
 	return candidates
 }
 
+// startsOver reports whether an item whose text no engine can continue now is generated from
+// the start at another engine, rather than wait for one that can. A long text is worth the
+// wait for an engine that is backing off.
+func (*batchRun) startsOver(s *itemState, demand placing.Demand) bool {
+	switch {
+	case demand.OnlyVersion > 0:
+		return true
+	case !demand.Resumes || s.obstacle == placing.ObstacleSlots:
+		return false
+	case s.obstacle == placing.ObstacleBackoff:
+		return len(s.events) < placing.LongRunEvents
+	default:
+		return true
+	}
+}
+
 // reset discards the partial text, so that the next run generates it from the start.
-func (s *itemState) reset() { s.events, s.lastEventID, s.software, s.versions = nil, "", nil, nil }
+func (s *itemState) reset() { s.events, s.lastEventID, s.software, s.versions = nil, "", "", nil }
 
 // runStart is the decision to run an item.
 type runStart struct {
@@ -245,11 +262,18 @@
 		r.Logger.Info("item run ended", slog.String("item", s.item.ID), slog.String("batch", br.batch.ID),
 			slog.String("server", engine.ID), slog.String("outcome", string(outcome)), slog.Any("error", err),
 			slog.Duration("after", time.Since(began)), slog.Int("events", len(s.events)-eventsBefore),
-			slog.Int("events-in-all", len(s.events)), slog.Any("software", s.software), slog.Int("hint", s.item.LengthHint),
+			slog.Int("events-in-all", len(s.events)), slog.String("software", s.software), slog.Int("hint", s.item.LengthHint),
 			slog.Int("tokens", s.item.Tokens), slog.Duration("pace", tracker.meanInterval), slog.Duration("server-pace", engine.EventInterval),
 			slog.Duration("best-pace", start.bestPace), slog.Duration("waited", start.waited), slog.String("waited-for", string(start.obstacle)),
 			slog.Duration("to-first-event", tracker.toFirstEvent(began)), slog.Duration("silent", tracker.silence(began)))
 	}
+	if current, known := r.Inventory.Get(engine.ID); known && current.Software != engine.Software &&
+		(eventsBefore > 0 || outcome != generation.OutcomeCompleted) {
+		// The server started again with other software under its id. It isn't known which
+		// of the two wrote the events of this run.
+		s.reset()
+		outcome = generation.OutcomeStopped
+	}
 	br.onRunEnded(s, engine, start.route, outcome, err)
 }
 
@@ -283,9 +307,7 @@
 	defer r.mu.Unlock()
 	s.events = append(s.events, event.Data)
 	s.lastEventID = event.ID
-	if !slices.Contains(s.software, server.Software) {
-		s.software = append(s.software, server.Software)
-	}
+	s.software = server.Software
 	if !slices.Contains(s.versions, event.Version) {
 		s.versions = append(s.versions, event.Version)
 		slices.Sort(s.versions)
@@ -315,7 +337,9 @@
 
 // demand returns what an item requires of an engine.
 func (br *batchRun) demand(s *itemState, singleVersion bool) placing.Demand {
-	demand := placing.Demand{Avoid: s.avoidEngine, MinVersion: br.batch.MinVersion, Model: br.batch.Model}
+	demand := placing.Demand{
+		Avoid: s.avoidEngine, MinVersion: br.batch.MinVersion, Model: br.batch.Model, Resumes: len(s.events) > 0, Software: s.software,
+	}
 	if singleVersion && len(s.versions) == 1 {
 		demand.OnlyVersion = s.versions[0]
 	}
--- a/internal/rollout/placing/placing.go
+++ b/internal/rollout/placing/placing.go
@@ -55,6 +55,10 @@
 	// OnlyVersion is the only weight version allowed; zero allows all from
 	// MinVersion on.
 	OnlyVersion int64
+	// Resumes is set if the engine is to continue a text. Only engines whose software
+	// version is Software may do so.
+	Resumes  bool
+	Software string
 }
 
 // Choose returns the engine on which the item is expected to finish first. It
@@ -64,7 +68,7 @@
 	medianInterval := MedianEventInterval(candidates)
 	best, lowestCost := -1, 0.0
 	for i, c := range candidates {
-		if !AllowsVersion(c, demand) || c.BackingOff || SlotsInUse(c) >= maxOccupancy*float64(c.Slots) {
+		if !allows(c, demand) || c.BackingOff || SlotsInUse(c) >= maxOccupancy*float64(c.Slots) {
 			continue
 		}
 		cost := cost(c, medianInterval)
@@ -87,6 +91,7 @@
 // The obstacles, each named after what has to change first.
 const (
 	ObstacleNoEngine Obstacle = "no-engine"
+	ObstacleSoftware Obstacle = "software"
 	ObstacleWeights  Obstacle = "weights"
 	ObstacleBackoff  Obstacle = "back-off"
 	ObstacleSlots    Obstacle = "slots"
@@ -97,10 +102,14 @@
 	if len(candidates) == 0 {
 		return ObstacleNoEngine
 	}
-	obstacle := ObstacleWeights
+	obstacle := ObstacleSoftware
 	for _, c := range candidates {
 		switch {
+		case !allowsSoftware(c, demand):
 		case !AllowsVersion(c, demand):
+			if obstacle == ObstacleSoftware {
+				obstacle = ObstacleWeights
+			}
 		case !c.BackingOff:
 			return ObstacleSlots
 		default:
@@ -119,6 +128,16 @@
 	return version >= demand.MinVersion
 }
 
+// allowsSoftware reports whether the engine may continue the text of the demand, if it has one.
+func allowsSoftware(c inventory.Candidate, demand Demand) bool {
+	return !demand.Resumes || c.Software == demand.Software
+}
+
+// allows reports whether the demand allows the engine's weight version and software.
+func allows(c inventory.Candidate, demand Demand) bool {
+	return AllowsVersion(c, demand) && allowsSoftware(c, demand)
+}
+
 // SlotsInUse estimates the number of requests at the engine: the larger of this
 // host's own count and the count that the engine reported, which is some hundred
 // milliseconds old.
@@ -155,7 +174,7 @@
 func LowestEventInterval(candidates []inventory.Candidate, demand Demand) time.Duration {
 	var lowest time.Duration
 	for _, c := range candidates {
-		if c.EventInterval > 0 && AllowsVersion(c, demand) && (lowest == 0 || c.EventInterval < lowest) {
+		if c.EventInterval > 0 && allows(c, demand) && (lowest == 0 || c.EventInterval < lowest) {
 			lowest = c.EventInterval
 		}
 	}
@@ -186,7 +205,7 @@
 func HasFaster(candidates []inventory.Candidate, demand Demand, run Run) bool {
 	for _, c := range candidates {
 		free := !c.BackingOff && !c.RequestLimit.Named && SlotsInUse(c) < maxOccupancy*float64(c.Slots)
-		if free && c.ID != demand.Avoid && AllowsVersion(c, demand) && c.EventInterval > 0 && exceedsRatio(run.EventInterval, longRunRatio, c.EventInterval) {
+		if free && c.ID != demand.Avoid && allows(c, demand) && c.EventInterval > 0 && exceedsRatio(run.EventInterval, longRunRatio, c.EventInterval) {
 			return true
 		}
 	}
