Resume a caller's stream only at the software version that began it

What callers saw: a stream that had broken off was taken up again with 200 and ran to its end, the first part from one version of a back end's software and the rest from another, with nothing in the answer to show it.

Cause: a take-up was sent to the server with the least load, whatever it named as the attempt that began the stream. Hosts that had all been killed knew nothing of their streams or of versions that had left. The class is that of a request that depends on what an earlier one left behind, at a host that doesn't keep it.

Ruled out: a stream that is joined within one answer; a stream that breaks off ends the caller's connection.

Change: a host knows where a stream began from its own memory, from the store, or because the service has had one version only; else it rejects the take-up at once, not run. The versions of a service and when they left are kept in the store, so that hosts that all start anew know of them; origins are written there only while a service has several versions.

--- a/internal/backend/dialect/dialect.go
+++ b/internal/backend/dialect/dialect.go
@@ -32,6 +32,9 @@
 	// ResumeAfter is the request header with the id of the last event that the caller
 	// received.
 	ResumeAfter string
+	// ResumedAttempt is the request header with the id of the attempt that brought the first
+	// event of a stream that the caller resumes.
+	ResumedAttempt string
 	// Signature is the response header with the server's signature of the answer.
 	Signature string
 	// WeightVersion is the response header with the weight version of the answer. The
--- a/internal/backend/inventory/inventory.go
+++ b/internal/backend/inventory/inventory.go
@@ -110,6 +110,9 @@
 	notices      map[string]leaveNotice
 	servers      map[string]Server
 	observedByID map[string]*observations
+	// removedSoftware holds when the last server of a service with a software version was
+	// removed, by service and version.
+	removedSoftware map[string]map[string]elapsed.Mark
 	// lastPruned is when notices was last pruned.
 	lastPruned time.Time
 }
@@ -135,6 +138,9 @@
 	if seen := v.observedByID[s.ID]; seen != nil {
 		seen.versions = nil
 	}
+	if known && (before.Software != s.Software || before.Service != s.Service) {
+		v.recordRemovedSoftware(before)
+	}
 	if before.Service != s.Service {
 		v.removeFromService(before)
 		v.addToService(s)
@@ -148,6 +154,9 @@
 func (v *Inventory) Remove(id string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if s, known := v.servers[id]; known {
+		v.recordRemovedSoftware(s)
+	}
 	v.removeFromService(v.servers[id])
 	delete(v.servers, id)
 	if seen := v.observedByID[id]; seen != nil && seen.inFlight == 0 {
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,7 +31,9 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/fleet/roster"
+	"github.com/nutmegway/nutmegway/internal/fleet/software"
 	"github.com/nutmegway/nutmegway/internal/request/forward"
+	"github.com/nutmegway/nutmegway/internal/request/origin"
 	"github.com/nutmegway/nutmegway/internal/request/permit"
 	"github.com/nutmegway/nutmegway/internal/request/permitlink"
 	"github.com/nutmegway/nutmegway/internal/request/poison"
@@ -131,7 +134,8 @@
 	runner           *batchrun.Runner
 	inventoryUpdater *inventoryUpdater
 	// serverMirror exists from SetUp on, since readiness depends on it.
-	serverMirror *mirror.Mirror
+	serverMirror    *mirror.Mirror
+	softwareHistory *software.History
 	// store is relayStore, or DirectStore without a peer address.
 	store kv.RangeStore
 }
@@ -166,6 +170,10 @@
 		Client: h.Plain, Quarantine: h.poisonRegistry, Dialect: h.Dialect, CrashDetector: h.crashDetector, Inventory: h.inventory, Logger: h.Logger,
 		Self: h.Settings.ID, Zone: h.Settings.Zone,
 	}
+	h.softwareHistory = &software.History{
+		Inventory: h.inventory, IsResponsible: h.isResponsible, Logger: h.Logger, Services: h.resumableServices, Store: h.store,
+	}
+	h.Forwarder.Origins = &origin.Origins{Logger: h.Logger, Recent: h.softwareHistory.Recent, Store: h.store}
 	h.roster = &roster.Roster{
 		Logger: h.Logger, Store: h.store,
 		Self: roster.Host{
@@ -246,6 +254,8 @@
 	supervise(groupCtx, "inquiries", h.crashDetector.Run)
 	supervise(groupCtx, "contents", h.poisonRegistry.Run)
 	supervise(groupCtx, "leaving servers", h.leavingBroadcaster.Run)
+	supervise(groupCtx, "software versions", h.softwareHistory.Run)
+	supervise(groupCtx, "stream origins", h.Forwarder.Origins.Run)
 	supervise(dutiesCtx, "batches", h.Batches.Run)
 	supervise(dutiesCtx, "orders", h.loadController.Run)
 	supervise(dutiesCtx, "retirements", h.retirements.Run)
@@ -291,6 +301,7 @@
 		h.Batches.Index.Apply(c)
 		h.poisonRegistry.Apply(c)
 		h.leavingBroadcaster.Apply(c)
+		h.softwareHistory.Apply(c)
 	}}
 	servers := h.serverMirror
 	servers.HostsMirror, servers.Prefix, servers.OnChange = h.liveMirror, prefixes.Servers, h.inventoryUpdater.apply
@@ -313,6 +324,26 @@
 	return mirrors
 }
 
+// resumableServices returns the services whose streams callers may resume, or none before the
+// servers are known.
+func (h *Host) resumableServices() []string {
+	c := h.config.Load()
+	if c == nil || !h.serverMirror.Delivered() {
+		return nil
+	}
+	var services []string
+	for _, route := range c.Routes {
+		if !route.Streaming || !route.Resumable {
+			continue
+		}
+		for _, target := range route.Targets {
+			services = append(services, target.Service)
+		}
+	}
+	slices.Sort(services)
+	return slices.Compact(services)
+}
+
 // recordCrash attributes the crash of a server to the content that it ran.
 func (h *Host) recordCrash(c crashdetect.Incident) {
 	h.poisonRegistry.RecordCrash(c.Content, poison.CrashID(c.Server.ID, time.UnixMilli(c.Server.Started)))
--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/base/recovery"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
+	"github.com/nutmegway/nutmegway/internal/request/origin"
 )
 
 // exchange is the state of one request that is being forwarded.
@@ -27,7 +28,9 @@
 	deadline time.Time
 	group    *errgroup.Group
 	request  Request
-	service  string
+	// resumed is where the stream that the request resumes began; nil if it resumes none.
+	resumed *origin.Origin
+	service string
 	// unanswered holds an incident for each server that was sent the request and has
 	// not answered, by server id.
 	unanswered map[string]crashdetect.Incident
@@ -78,6 +81,9 @@
 // serve returns the answer of a server, or an error if the quarantine does not admit the
 // content or no server answers.
 func (x *exchange) serve(ctx context.Context) (answer, error) {
+	if err := x.findOrigin(ctx); err != nil {
+		return answer{}, err
+	}
 	if x.Quarantine != nil {
 		admission, err := x.Quarantine.Admit(ctx, x.content)
 		if err != nil {
@@ -173,7 +179,7 @@
 	if !x.attempts.mayStart() || ctx.Err() != nil || !x.mayContinue() {
 		return
 	}
-	candidate, ok := x.attempts.chooseServer(x.Inventory.Candidates(x.service))
+	candidate, ok := x.attempts.chooseServer(x.candidates())
 	if !ok {
 		return
 	}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -24,6 +24,7 @@
 	"github.com/nutmegway/nutmegway/internal/backend/plain"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
+	"github.com/nutmegway/nutmegway/internal/request/origin"
 	"github.com/nutmegway/nutmegway/internal/request/poison"
 )
 
@@ -78,6 +79,8 @@
 	CrashDetector *crashdetect.Detector
 	Inventory     *inventory.Inventory
 	Logger        *slog.Logger
+	// Origins holds where the streams of callers began; nil resumes them at any server.
+	Origins *origin.Origins
 	// Self is the id of this host.
 	Self string
 	// Zone is the availability zone of this host.
@@ -146,6 +149,7 @@
 	}
 	defer final.close()
 	f.metrics.count(ctx, "answered", time.Since(request.Arrived))
+	x.recordOrigin(final)
 	switch err := writeAnswer(w, final); {
 	case err == nil:
 		x.reportAnswered()
@@ -220,7 +224,7 @@
 		f.Inventory.BackOff(candidate.ID, minRetryAfter)
 		return a
 	}
-	if strings.HasPrefix(response.Header.Get("Content-Type"), eventStreamType) {
+	if isEventStream(response) {
 		a.hasMore = true
 		return a
 	}
@@ -234,6 +238,10 @@
 	return a
 }
 
+func isEventStream(response *http.Response) bool {
+	return strings.HasPrefix(response.Header.Get("Content-Type"), eventStreamType)
+}
+
 // ParseLoad returns the total number of running and waiting requests from a server's load
 // header. The two numbers are its first two comma-separated fields. ParseLoad returns -1
 // if the header is absent or malformed.
