Take no error of a server for the rest of a text

What callers saw elsewhere: after a stream had broken off, the text of the next server's error in the middle of it, or its end as if it were complete. Here it could happen to texts of batches.

Cause: a run that goes on after event n took any answer with status 200 for the rest of the stream. Lines without an id made an event, an answer without events was the end of the text.

Ruled out: an answer with another status, which was never read; an answer that ends within its head or its last event, which net/http or the reader of events reports (TestAnswerThatEndsInItsHeadIsBroken, every number of bytes).

Change: a resumed run needs an event stream, and every event an id that is greater than the one before it. TestHeadersOfResumedRequest now answers with the type that a stream has; it checks what it did.

--- a/internal/backend/generation/generation.go
+++ b/internal/backend/generation/generation.go
@@ -126,6 +126,10 @@
 	if outcome, err := c.rejectionOutcome(response); outcome != "" {
 		return outcome, err
 	}
+	if r.ResumeAfter != "" && !isEventStream(response) {
+		return OutcomeBroken, classError.New("server answered a resumed run with content type %q, want an event stream",
+			response.Header.Get("Content-Type"))
+	}
 	onLoad(response.Header.Get(c.Dialect.Load))
 	version, _ := strconv.ParseInt(response.Header.Get(c.Dialect.WeightVersion), 10, 64)
 	reader := eventReader{
@@ -134,6 +138,7 @@
 	}
 	reader.scanner.Buffer(nil, maxEventBytes)
 	allowance := newStreamAllowance(r.MaxTokens)
+	previousID := r.ResumeAfter
 	for {
 		event, err := reader.next()
 		if errors.Is(err, io.EOF) {
@@ -145,6 +150,10 @@
 		if !allowance.consume(event) {
 			return OutcomeBroken, ErrStreamTooLong
 		}
+		if err := checkOrder(previousID, event.ID); err != nil {
+			return OutcomeBroken, err
+		}
+		previousID = event.ID
 		timer.Reset(r.EventTimeout)
 		if err := onEvent(event); err != nil {
 			return OutcomeBroken, err
@@ -152,6 +161,28 @@
 	}
 }
 
+func isEventStream(response *http.Response) bool {
+	return strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// checkOrder returns an error unless the id of an event is a number that is greater than the
+// id of the event before it. Text of an error, which has no ids, is thus not taken for text
+// of the generation. previous is empty for the first event.
+func checkOrder(previous, id string) error {
+	number, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return classError.New("event has id %q, want a number", id)
+	}
+	if previous == "" {
+		return nil
+	}
+	before, err := strconv.ParseInt(previous, 10, 64)
+	if err != nil || number <= before {
+		return classError.New("event has id %q, want one after %q", id, previous)
+	}
+	return nil
+}
+
 // streamAllowance holds the numbers of bytes of data and of events that a stream may still
 // deliver.
 type streamAllowance struct{ bytes, events int }
--- a/internal/backend/generation/generation_test.go
+++ b/internal/backend/generation/generation_test.go
@@ -123,7 +123,10 @@
 	var got http.Header
 	_, err := runGeneration(t, generation.Request{
 		Budget: 1500 * time.Millisecond, Header: map[string]string{"X-Own": "kept"}, ResumeAfter: "7", Server: "e1",
-	}, func(_ http.ResponseWriter, r *http.Request) { got = r.Header }, func(generation.Event) error { return nil })
+	}, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		got = r.Header
+	}, func(generation.Event) error { return nil })
 	is.NoErr(err)
 	is.Equal(got.Get("Resume-After"), "7")
 	is.Equal(got.Get("Expect-Server"), "e1")
