Cut off a stream without a length that ends within an event

What callers saw elsewhere: a 200 with an empty or short body, framed as whole. Here: a stream without a length ends with its server's connection; if the server stopped within an event or before the first, the caller got a proper end.

Cause: the end of the connection was taken for the end of the answer, which it is for a body without a length, but a stream shows by its last bytes whether an event is missing its end.

Ruled out: a connection that closes within the head, or within a body with a length or chunks: TestTruncatedAnswerIsNoSuccess cuts four answers after every byte, none looks complete, before this change either.

A stream that ends between two events can't be told from a complete one.

--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -281,9 +281,48 @@
 	if _, err := w.Write(a.head); err != nil || !a.hasMore {
 		return err
 	}
+	if a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0 && isEventStream(a.response) {
+		return copyUnframedStream(w, a.response.Body)
+	}
 	return copyFlushing(w, a.response.Body)
 }
 
+// copyUnframedStream copies an event stream that ends with its connection. A stream that
+// ends within an event, or has none, is interrupted.
+func copyUnframedStream(w http.ResponseWriter, body io.Reader) error {
+	tail := &tailReader{Reader: body}
+	if err := copyFlushing(w, tail); err != nil {
+		return err
+	}
+	if !tail.endsEvent() {
+		return errAnswerInterrupted
+	}
+	return nil
+}
+
+// tailReader keeps the last bytes that were read.
+type tailReader struct {
+	io.Reader
+
+	tail []byte
+}
+
+// eventEndBytes is the number of bytes that show whether an event has ended.
+const eventEndBytes = 4
+
+// Read implements io.Reader.
+func (t *tailReader) Read(p []byte) (int, error) {
+	n, err := t.Reader.Read(p)
+	t.tail = append(t.tail, p[max(n-eventEndBytes, 0):n]...)
+	t.tail = t.tail[max(len(t.tail)-eventEndBytes, 0):]
+	return n, err
+}
+
+// endsEvent reports whether the bytes read end with an empty line, which ends an event.
+func (t *tailReader) endsEvent() bool {
+	return bytes.HasSuffix(t.tail, []byte("\n\n")) || bytes.HasSuffix(t.tail, []byte("\r\n\r\n"))
+}
+
 // copyFlushing copies body to w and flushes after each read, so that the caller gets
 // each part as it arrives.
 func copyFlushing(w http.ResponseWriter, body io.Reader) error {
