Keep no request limit of a server that isn't listed

An order's answer could name a limit after its server's entry was gone, and the observation was never dropped. TestLimitOfUnlistedServerIsNotKept fails without the change.

--- a/internal/backend/inventory/inventory_test.go
+++ b/internal/backend/inventory/inventory_test.go
@@ -210,3 +210,19 @@
 	v.MarkLeaving("gone", 1)
 	is.Equal(candidateIDs(v.Candidates("s")), []string{"b"}) // notices of removed servers are deleted first
 }
+
+func TestLimitOfUnlistedServerIsNotKept(t *testing.T) {
+	is := is.New(t)
+	v := &inventory.Inventory{}
+	limit := inventory.RequestLimit{Named: true, PerSecond: 2}
+	_, changed := v.RecordRequestLimit("s", limit, time.Now())
+	is.True(!changed)
+	v.Set(inventory.Server{ID: "s", Started: 1})
+	kept, _ := v.RequestLimitOf("s")
+	is.Equal(kept, inventory.RequestLimit{})
+	_, changed = v.RecordRequestLimit("s", limit, time.Now())
+	is.True(changed)
+	v.Set(inventory.Server{ID: "s", Started: 2}) // the server started again
+	kept, _ = v.RequestLimitOf("s")
+	is.Equal(kept, inventory.RequestLimit{})
+}
--- a/internal/backend/inventory/limit.go
+++ b/internal/backend/inventory/limit.go
@@ -24,11 +24,11 @@
 func (v *Inventory) RecordRequestLimit(id string, limit RequestLimit, sent time.Time) (before RequestLimit, changed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	seen := v.observedByID[id]
-	if seen == nil && !limit.Named {
+	_, known := v.servers[id]
+	if v.observedByID[id] == nil && (!known || !limit.Named) {
 		return RequestLimit{}, false
 	}
-	seen = v.observed(id)
+	seen := v.observed(id)
 	before = seen.limit.RequestLimit
 	if !limit.Named && sent.Before(seen.limit.receivedAt) {
 		return before, false
