End a host at once although it runs batches

Found by TestLimitedServersGetNoMoreThanTheyNamed: a host that is told to end at once (a second signal) never did while it ran a batch, since the batch's loops only end with the batch. The platform's SIGKILL ended it.

Change: when the runner's context ends, it cancels its batches and accepts no more. A drain hands them over before that, as before.

Test, failing first (it didn't end): TestHostEndsWhileABatchRuns.

--- a/internal/rollout/batchrun/batchrun_test.go
+++ b/internal/rollout/batchrun/batchrun_test.go
@@ -93,7 +93,8 @@
 type host struct {
 	inventory *inventory.Inventory
 	service   *batchrun.Service
-	stop      func()
+	// stop hands over the batches of the host and ends it; abort ends it only.
+	stop, abort func()
 }
 
 func newHost(t *testing.T, id string, store *kvmemory.Store, engines ...*engineServer) *host {
@@ -147,12 +148,15 @@
 		group.Go(func() error { return run(groupCtx) })
 	}
 	var once sync.Once
-	h := &host{inventory: inv, service: service, stop: func() {
+	end := func() {
+		cancel()
+		_ = group.Wait()
+	}
+	h := &host{inventory: inv, service: service, abort: func() { once.Do(end) }, stop: func() {
 		once.Do(func() {
 			r.Leave()
 			runner.Drain(context.Background())
-			cancel()
-			_ = group.Wait()
+			end()
 		})
 	}}
 	t.Cleanup(h.stop)
--- a/internal/rollout/batchrun/drain_test.go
+++ b/internal/rollout/batchrun/drain_test.go
@@ -80,3 +80,21 @@
 	a.stop()
 	checkComplete(t, readAll(t, b.service), 1)
 }
+
+// TestHostEndsWhileABatchRuns ends a host whose engine never answers, without a drain, as at
+// a second signal.
+func TestHostEndsWhileABatchRuns(t *testing.T) {
+	is := is.New(t)
+	engine := newEngine(t)
+	reached := make(chan struct{})
+	var once sync.Once
+	engine.handle = func(_ http.ResponseWriter, r *http.Request) bool {
+		once.Do(func() { close(reached) })
+		<-r.Context().Done()
+		return true
+	}
+	h := newHost(t, "a", &kvmemory.Store{}, engine)
+	is.NoErr(h.service.Submit(t.Context(), sampleBatch(1)))
+	<-reached
+	h.abort()
+}
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -130,9 +130,21 @@
 		case <-ticker.C:
 		}
 	}
+	r.abort()
 	return nil
 }
 
+// abort cancels all batches and accepts no more, so that the host can end. Batches that it
+// has not handed over are taken over by other hosts.
+func (r *Runner) abort() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.finishing = true
+	for _, br := range r.runs {
+		br.cancel()
+	}
+}
+
 // wakeUp makes the scheduler run soon.
 func (r *Runner) wakeUp() {
 	select {
