--- a/internal/lab/soak/player.go
+++ b/internal/lab/soak/player.go
@@ -23,6 +23,12 @@
 	// minPause is added to the duration of ActionHostPause, so that the pause exceeds
 	// the time after which a silent host is considered dead.
 	minPause = 1500 * time.Millisecond
+	// namedLimit is the limit, in requests per second, that a server names during
+	// ActionServerLimit. It is named for limitNotice, limitedTime and the duration of the
+	// event. It is judged after limitNotice.
+	namedLimit  = 2
+	limitNotice = 3 * time.Second
+	limitedTime = 6 * time.Second
 	// poisonDowntime is how long a server stays down after a poison request has crashed
 	// it or after it has left as announced.
 	poisonDowntime = 400 * time.Millisecond
@@ -83,7 +89,7 @@
 			defer n.eventMu.Unlock()
 			r.disturbLink(ctx, n.link, n.index, event)
 		}
-	case ActionServerResets, ActionServerCrash, ActionServerFails, ActionServerLeave, ActionServerLink, ActionServerLoseOrder, ActionServerOneWay, ActionServerHangs:
+	case ActionServerResets, ActionServerCrash, ActionServerFails, ActionServerLeave, ActionServerLimit, ActionServerLink, ActionServerLoseOrder, ActionServerOneWay, ActionServerHangs:
 		return r.disturbServers(ctx, event)
 	default:
 		r.disturbStore(ctx, event)
@@ -231,6 +237,12 @@
 		wait.For(ctx, drainBound+event.Duration) // The server stops even if ctx ends.
 		return r.crash(ctx, b, poisonDowntime)
 	}
+	if event.Action == ActionServerLimit {
+		b.SetLimit(namedLimit)
+		wait.For(ctx, limitNotice+limitedTime+event.Duration) // The limit ends even if ctx does.
+		b.SetLimit(0)
+		return nil
+	}
 	if event.Action != ActionServerCrash {
 		r.disturbLink(ctx, b.link, backendServers, event)
 		return nil
--- a/internal/lab/soak/records.go
+++ b/internal/lab/soak/records.go
@@ -103,6 +103,7 @@
 
 // records are all observations that the guarantees are checked against.
 type records struct {
+	arrivals      []platformtest.Arrival
 	bodies        []bodyReading
 	disturbances  []*disturbance
 	configChanges []configChange
--- a/internal/lab/soak/schedule.go
+++ b/internal/lab/soak/schedule.go
@@ -25,6 +25,7 @@
 	ActionServerCrash        chaos.Action = "server-crash"
 	ActionServerFails        chaos.Action = "server-fails"
 	ActionServerLeave        chaos.Action = "server-leaves"
+	ActionServerLimit        chaos.Action = "server-names-limit"
 	ActionServerLink         chaos.Action = "server-link-reset"
 	ActionServerLoseOrder    chaos.Action = "server-loses-order"
 	ActionServerOneWay       chaos.Action = "server-link-one-way"
@@ -42,7 +43,7 @@
 var faultActions = []chaos.Action{
 	ActionAllKill, ActionHostKill, ActionHostKill, ActionHostPause, ActionHostPause, ActionHostPause, ActionHostReload, ActionHostSeries, ActionHostStop,
 	ActionLinkBlackhole, ActionLinkDelay, ActionLinkHalfOpen, ActionLinkReset, ActionServerResets, ActionServerCrash, ActionServerFails,
-	ActionServerLeave, ActionServerLink, ActionServerLoseOrder, ActionServerOneWay, ActionServerHangs, ActionStoreDown, ActionStoreExpiresLeases,
+	ActionServerLeave, ActionServerLimit, ActionServerLink, ActionServerLoseOrder, ActionServerOneWay, ActionServerHangs, ActionStoreDown, ActionStoreExpiresLeases,
 	ActionStoreCompacts, ActionStoreLate, ActionStoreLosesReplies, ActionStoreSlow,
 }
 
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -85,6 +85,7 @@
 		runs, orders := b.History()
 		r.recorder.runs = append(r.recorder.runs, runs...)
 		r.recorder.orders = append(r.recorder.orders, orders...)
+		r.recorder.arrivals = append(r.recorder.arrivals, b.Arrivals()...)
 	}
 	return r.recorder.judge(platformLimits()), nil
 }
