--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -331,17 +330,7 @@
 	if c == nil || !h.serverMirror.Delivered() {
 		return nil
 	}
-	var services []string
-	for _, route := range c.Routes {
-		if !route.Streaming || !route.Resumable {
-			continue
-		}
-		for _, target := range route.Targets {
-			services = append(services, target.Service)
-		}
-	}
-	slices.Sort(services)
-	return slices.Compact(services)
+	return c.ResumableServices()
 }
 
 // recordCrash attributes the crash of a server to the content that it ran.
--- a/internal/fleet/config/config.go
+++ b/internal/fleet/config/config.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -99,6 +100,27 @@
 	return c.Routes[best], true
 }
 
+// ResumableServices returns the sorted names of the services whose streams callers may resume.
+func (c *Config) ResumableServices() []string {
+	var services []string
+	for _, route := range c.Routes {
+		if route.Streaming && route.Resumable {
+			services = append(services, route.Services()...)
+		}
+	}
+	slices.Sort(services)
+	return slices.Compact(services)
+}
+
+// Services returns the names of the services that the route may choose from.
+func (r Route) Services() []string {
+	services := make([]string, 0, len(r.Targets))
+	for _, target := range r.Targets {
+		services = append(services, target.Service)
+	}
+	return services
+}
+
 // PickService selects the service for one request by weight. sample is a random
 // number in [0, 1). It returns an empty name if the route has no targets.
 func (r Route) PickService(sample float64) string {
--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -78,8 +78,9 @@
 	delete(x.unanswered, a.server.ID)
 }
 
-// serve returns the answer of a server, or an error if the quarantine does not admit the
-// content or no server answers.
+// serve returns the answer of a server. It returns an error if the request resumes a stream
+// that can't be resumed, if the quarantine does not admit the content, or if no server
+// answers.
 func (x *exchange) serve(ctx context.Context) (answer, error) {
 	if err := x.findOrigin(ctx); err != nil {
 		return answer{}, err
--- a/internal/request/forward/resume.go
+++ b/internal/request/forward/resume.go
@@ -17,10 +17,7 @@
 	if x.Origins == nil || !x.attempts.route.Streaming || x.request.Header.Get(x.Dialect.ResumeAfter) == "" {
 		return nil
 	}
-	var services []string
-	for _, target := range x.attempts.route.Targets {
-		services = append(services, target.Service)
-	}
+	services := x.attempts.route.Services()
 	id := x.request.Header.Get(x.Dialect.ResumedAttempt)
 	found, ok := x.Origins.Find(ctx, id, services)
 	if !ok {
--- a/internal/request/origin/origin.go
+++ b/internal/request/origin/origin.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"log/slog"
 	"sync"
@@ -140,15 +141,11 @@
 	return v.Origin, true
 }
 
+// key returns the key of the stream of an attempt. Callers choose the ids, which may be longer
+// than a key.
 func key(id string) string {
 	hash := xxh3.HashString128(id).Bytes()
-	const digits = "0123456789abcdef"
-	encoded := make([]byte, 0, len(keyPrefix)+2*len(hash))
-	encoded = append(encoded, keyPrefix...)
-	for _, b := range hash {
-		encoded = append(encoded, digits[b>>4], digits[b&15])
-	}
-	return string(encoded)
+	return keyPrefix + hex.EncodeToString(hash[:])
 }
 
 // Run writes the origins that other hosts may need until ctx ends. A host without the origin
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -267,16 +267,21 @@
 			slog.Duration("best-pace", start.bestPace), slog.Duration("waited", start.waited), slog.String("waited-for", string(start.obstacle)),
 			slog.Duration("to-first-event", tracker.toFirstEvent(began)), slog.Duration("silent", tracker.silence(began)))
 	}
-	if current, known := r.Inventory.Get(engine.ID); known && current.Software != engine.Software &&
-		(eventsBefore > 0 || outcome != generation.OutcomeCompleted) {
-		// The server started again with other software under its id. It isn't known which
-		// of the two wrote the events of this run.
+	wroteWholeText := eventsBefore == 0 && outcome == generation.OutcomeCompleted
+	if !wroteWholeText && br.hasOtherSoftware(engine.Server) {
 		s.reset()
 		outcome = generation.OutcomeStopped
 	}
 	br.onRunEnded(s, engine, start.route, outcome, err)
 }
 
+// hasOtherSoftware reports whether an engine has started again with other software under its
+// id since it was chosen. It isn't known then which of the two wrote the events of the run.
+func (br *batchRun) hasOtherSoftware(engine inventory.Server) bool {
+	current, known := br.runner.Inventory.Get(engine.ID)
+	return known && current.Software != engine.Software
+}
+
 // release marks an item as no longer running, whatever its outcome, and wakes the
 // scheduler.
 func (br *batchRun) release(s *itemState, engine inventory.Candidate) {
