Check the deadline of a request after it has waited for a permit

By reading, not seen: a request to a limited server may wait for its permit, and a process that was paused meanwhile could send it, a load order among them, after its time was up, since the deadline was only looked at before the wait.

--- a/internal/backend/plain/client.go
+++ b/internal/backend/plain/client.go
@@ -135,14 +135,14 @@
 		trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("server.address", address)))
 	defer span.End()
-	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
-		// After a pause of the process, this may run before the context's timer has fired.
-		return nil, kind.New(kind.DeadlineUnmet, "the deadline passed before the request was sent")
-	}
 	permit, err := c.admit(ctx, request)
 	if err != nil {
 		return nil, err
 	}
+	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
+		// After a pause of the process, this may run before the context's timer has fired.
+		return nil, kind.New(kind.DeadlineUnmet, "the deadline passed before the request was sent")
+	}
 	admitted := time.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	tracker := &sendTracker{cancel: cancel, beforeSend: func() error { return firstError(permit.Check, request.BeforeSend) }}
