Keep a text while no engine could start it over

Change: an item starts over only if an engine can start it now.

Test, failing first: TestTextIsKeptWhileItsEnginesBackOff, resumed at 3 and not from the start.

--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -175,13 +175,10 @@
 		engine, ok := placing.Choose(candidates, demand)
 		if !ok {
 			s.obstacle = placing.FindObstacle(candidates, demand)
-			if !br.startsOver(s, demand) {
+			if engine, ok = s.chooseToStartOver(candidates, demand); !ok {
 				continue
 			}
 			s.reset()
-			if engine, ok = placing.Choose(candidates, br.demand(s, route.SingleVersion)); !ok {
-				continue
-			}
 		}
 		for j := range candidates {
 			if candidates[j].ID == engine.ID {
@@ -204,20 +201,16 @@
 	return candidates
 }
 
-// startsOver reports whether an item whose text no engine can continue now is generated from
-// the start at another engine, rather than wait for one that can. A long text is worth the
-// wait for an engine that is backing off.
-func (*batchRun) startsOver(s *itemState, demand placing.Demand) bool {
-	switch {
-	case demand.OnlyVersion > 0:
-		return true
-	case !demand.Resumes || s.obstacle == placing.ObstacleSlots:
-		return false
-	case s.obstacle == placing.ObstacleBackoff:
-		return len(s.events) < placing.LongRunEvents
-	default:
-		return true
+// chooseToStartOver returns an engine that generates an item from the start, if that is
+// better than to wait for one that can continue its text. A long text is worth the wait for
+// an engine that is backing off.
+func (s *itemState) chooseToStartOver(candidates []inventory.Candidate, demand placing.Demand) (inventory.Candidate, bool) {
+	mayWait := s.obstacle == placing.ObstacleSlots || s.obstacle == placing.ObstacleBackoff && len(s.events) >= placing.LongRunEvents
+	if demand.OnlyVersion == 0 && (!demand.Resumes || mayWait) {
+		return inventory.Candidate{}, false
 	}
+	demand.OnlyVersion, demand.Resumes = 0, false
+	return placing.Choose(candidates, demand)
 }
 
 // reset discards the partial text, so that the next run generates it from the start.
--- a/internal/rollout/batchrun/software_test.go
+++ b/internal/rollout/batchrun/software_test.go
@@ -158,3 +158,16 @@
 	is.NoErr(h.service.Submit(t.Context(), sampleBatch(1)))
 	is.Equal(readAll(t, h.service)[0].Text, textOf("b"))
 }
+
+// TestTextIsKeptWhileItsEnginesBackOff has the only engine break off, so that no engine could
+// generate the text from the start either.
+func TestTextIsKeptWhileItsEnginesBackOff(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(t)
+	e.writeAs("a", 3)
+	h := newHost(t, "h", &kvmemory.Store{}, e)
+	h.setSoftware(0, "a", true)
+	is.NoErr(h.service.Submit(t.Context(), sampleBatch(1)))
+	is.Equal(readAll(t, h.service)[0].Text, textOf("a"))
+	is.Equal(e.requests(), []string{"x-i0@", "x-i0@3"})
+}
