Let load orders wait for a permit like status queries do

At limited engines items took the permits, orders were refused and versions came late. The wait can't outlast the right to give an order: it counts towards the 0.8 s that an order may be in transit, and the deadline is looked at after it.

--- a/internal/request/permit/gate.go
+++ b/internal/request/permit/gate.go
@@ -26,13 +26,13 @@
 const (
 	// burstTime lets a server get as many requests at once as it accepts in that time.
 	burstTime = time.Second
-	// maxRequestWait is how long a request waits for a permit. After that, it goes to
-	// another server or the caller is told when to come back. A load order that waited
-	// longer could be sent after the right to give it has expired.
+	// maxRequestWait is how long a single request or an item waits for a permit. After
+	// that, it goes to another server or the caller is told when to come back.
 	maxRequestWait = 50 * time.Millisecond
-	// maxStatusWait is how long a status query, which has no other server to go to, waits
-	// for a permit.
-	maxStatusWait = 500 * time.Millisecond
+	// maxControlWait is how long a load order or a status query waits for a permit. These
+	// have no other server to go to, and without new weights an engine runs no items. The
+	// wait counts towards the time that an order may be in transit.
+	maxControlWait = 500 * time.Millisecond
 	// permitTTL is how long a permit may be used, so that a host that was paused doesn't
 	// send requests that count against a later time.
 	permitTTL = time.Second
@@ -116,8 +116,8 @@
 }
 
 func maxWait(purpose plain.Purpose) time.Duration {
-	if purpose == plain.PurposeStatus {
-		return maxStatusWait
+	if purpose == plain.PurposeOrder || purpose == plain.PurposeStatus {
+		return maxControlWait
 	}
 	return maxRequestWait
 }
