--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -26,9 +26,6 @@
 	rejectionBackoff = 150 * time.Millisecond
 	// maxMoves bounds how often one item is moved away from a slow engine.
 	maxMoves = 3
-	// intervalSmoothing is the weight of a new interval in the exponentially weighted
-	// moving average of a run's event interval.
-	intervalSmoothing = 0.3
 	// fasterCheckInterval is the minimum time between two searches for a faster engine.
 	fasterCheckInterval = 250 * time.Millisecond
 )
@@ -206,10 +203,10 @@
 // an engine that is backing off.
 func (s *itemState) chooseToStartOver(candidates []inventory.Candidate, demand placing.Demand) (inventory.Candidate, bool) {
 	mayWait := s.obstacle == placing.ObstacleSlots || s.obstacle == placing.ObstacleBackoff && len(s.events) >= placing.LongRunEvents
-	if demand.OnlyVersion == 0 && (!demand.Resumes || mayWait) {
+	if demand.OnlyVersion == 0 && (!demand.Continues || mayWait) {
 		return inventory.Candidate{}, false
 	}
-	demand.OnlyVersion, demand.Resumes = 0, false
+	demand.OnlyVersion, demand.Continues = 0, false
 	return placing.Choose(candidates, demand)
 }
 
@@ -336,7 +333,7 @@
 // demand returns what an item requires of an engine.
 func (br *batchRun) demand(s *itemState, singleVersion bool) placing.Demand {
 	demand := placing.Demand{
-		Avoid: s.avoidEngine, MinVersion: br.batch.MinVersion, Model: br.batch.Model, Resumes: len(s.events) > 0, Software: s.software,
+		Avoid: s.avoidEngine, MinVersion: br.batch.MinVersion, Model: br.batch.Model, Continues: len(s.events) > 0, Software: s.software,
 	}
 	if singleVersion && len(s.versions) == 1 {
 		demand.OnlyVersion = s.versions[0]
@@ -456,48 +453,3 @@
 		slog.String("batch", br.batch.ID), slog.String("reason", reason))
 	br.finish(s, batch.Result{Item: s.item.ID, State: batch.StateDead})
 }
-
-// intervalTracker measures the mean interval between the events of one run.
-type intervalTracker struct {
-	intervals  int
-	firstEvent time.Time
-	lastEvent  time.Time
-	// lastFasterCheck is when a faster engine was last searched for.
-	lastFasterCheck time.Time
-	meanInterval    time.Duration
-}
-
-// observe records an event and returns the interval since the previous one. It returns
-// false for the first event.
-func (t *intervalTracker) observe(now time.Time) (time.Duration, bool) {
-	defer func() { t.lastEvent = now }()
-	if t.lastEvent.IsZero() {
-		t.firstEvent = now
-		return 0, false
-	}
-	interval := now.Sub(t.lastEvent)
-	t.intervals++
-	if t.meanInterval == 0 {
-		t.meanInterval = interval
-	} else {
-		t.meanInterval += time.Duration(intervalSmoothing * float64(interval-t.meanInterval))
-	}
-	return interval, true
-}
-
-// toFirstEvent returns how long the run that began at began took for its first event; zero
-// if it has none.
-func (t *intervalTracker) toFirstEvent(began time.Time) time.Duration {
-	if t.firstEvent.IsZero() {
-		return 0
-	}
-	return t.firstEvent.Sub(began)
-}
-
-// silence returns how long the run that began at began has been without an event.
-func (t *intervalTracker) silence(began time.Time) time.Duration {
-	if t.lastEvent.IsZero() {
-		return time.Since(began)
-	}
-	return time.Since(t.lastEvent)
-}
--- a/internal/rollout/placing/placing.go
+++ b/internal/rollout/placing/placing.go
@@ -55,10 +55,10 @@
 	// OnlyVersion is the only weight version allowed; zero allows all from
 	// MinVersion on.
 	OnlyVersion int64
-	// Resumes is set if the engine is to continue a text. Only engines whose software
+	// Continues is set if the engine is to continue a text. Only engines whose software
 	// version is Software may do so.
-	Resumes  bool
-	Software string
+	Continues bool
+	Software  string
 }
 
 // Choose returns the engine on which the item is expected to finish first. It
@@ -130,7 +130,7 @@
 
 // allowsSoftware reports whether the engine may continue the text of the demand, if it has one.
 func allowsSoftware(c inventory.Candidate, demand Demand) bool {
-	return !demand.Resumes || c.Software == demand.Software
+	return !demand.Continues || c.Software == demand.Software
 }
 
 // allows reports whether the demand allows the engine's weight version and software.
