Start a text over at an engine that doesn't resume it

Change: events that are out of order discard the text.

Test, failing first (it doesn't end) by the same cause: TestTextStartsOverIfItIsNotResumed; TestLeavingServerGetsNoNewRequests passes again, unchanged.

--- a/internal/backend/generation/generation.go
+++ b/internal/backend/generation/generation.go
@@ -44,6 +44,10 @@
 // ErrStreamTooLong is returned for a stream that exceeds a limit on its bytes or events.
 var ErrStreamTooLong = classError.New("event stream exceeds its limit of bytes or events")
 
+// ErrOutOfOrder is returned for a stream whose events have no ids, or ids that don't
+// increase from the one that the run resumes after.
+var ErrOutOfOrder = classError.New("events are out of order")
+
 // Request describes one run of an item.
 type Request struct {
 	Address string
@@ -171,14 +175,14 @@
 func checkOrder(previous, id string) error {
 	number, err := strconv.ParseInt(id, 10, 64)
 	if err != nil {
-		return classError.New("event has id %q, want a number", id)
+		return errors.Join(ErrOutOfOrder, classError.New("event has id %q, want a number", id))
 	}
 	if previous == "" {
 		return nil
 	}
 	before, err := strconv.ParseInt(previous, 10, 64)
 	if err != nil || number <= before {
-		return classError.New("event has id %q, want one after %q", id, previous)
+		return errors.Join(ErrOutOfOrder, classError.New("event has id %q, want one after %q", id, previous))
 	}
 	return nil
 }
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -379,6 +379,10 @@
 	case generation.OutcomeStopped:
 	case generation.OutcomeBroken, generation.OutcomeStalled:
 		s.avoidEngine = engine.ID
+		if errors.Is(err, generation.ErrOutOfOrder) {
+			// The engine doesn't resume the text, and others may not either.
+			s.reset()
+		}
 		if !errors.Is(err, errSlow) && !errors.Is(err, errStaleVersion) {
 			inv.RecordFailure(engine.ID)
 		}
--- a/internal/rollout/batchrun/software_test.go
+++ b/internal/rollout/batchrun/software_test.go
@@ -171,3 +171,26 @@
 	is.Equal(readAll(t, h.service)[0].Text, textOf("a"))
 	is.Equal(e.requests(), []string{"x-i0@", "x-i0@3"})
 }
+
+// TestTextStartsOverIfItIsNotResumed has an engine that begins anew whatever it is asked.
+func TestTextStartsOverIfItIsNotResumed(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(t)
+	broken := false
+	e.handle = func(w http.ResponseWriter, r *http.Request) bool {
+		e.mu.Lock()
+		first := !broken
+		broken = true
+		e.mu.Unlock()
+		r.Header.Del("Resume-After")
+		if !first {
+			return false
+		}
+		e.stream(w, r, 3)
+		panic(http.ErrAbortHandler)
+	}
+	h := newHost(t, "h", &kvmemory.Store{}, e)
+	is.NoErr(h.service.Submit(t.Context(), sampleBatch(1)))
+	is.Equal(readAll(t, h.service)[0].Text, expectedText("x-i0"))
+	is.Equal(e.requests(), []string{"x-i0@", "x-i0@3", "x-i0@"})
+}
