Detect and log when a host reaches no backend server

No log line tells when a host lost the servers, so a late discovery can't be told from having only one way.

The HTTP client tells a monitor which connections fail, hang or go silent, and when bytes arrive. Nothing acts on the verdict yet, but a connection that hangs ends once the host is known to be isolated.

--- a/internal/backend/inventory/inventory.go
+++ b/internal/backend/inventory/inventory.go
@@ -192,6 +192,13 @@
 	return s, ok
 }
 
+// All returns all servers, in no particular order.
+func (v *Inventory) All() []Server {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Collect(maps.Values(v.servers))
+}
+
 // Changed returns a channel that is closed when a server is next set, removed, marked as
 // leaving or backed off after a failure, or when a request next finishes.
 func (v *Inventory) Changed() <-chan struct{} {
--- a/internal/backend/plain/client.go
+++ b/internal/backend/plain/client.go
@@ -19,6 +19,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/nutmegway/nutmegway/internal/backend/reach"
 	"github.com/nutmegway/nutmegway/internal/base/httperror"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/base/probe"
@@ -118,6 +119,8 @@
 	// OnLeaving, if not nil, is called with the id of the server for each answer for which
 	// IsLeaving returns true. It isn't called if Request.Server is empty.
 	OnLeaving func(server string)
+	// Reach observes the connections; it may be nil.
+	Reach *reach.Monitor
 
 	conns    connTracker
 	once     sync.Once
@@ -211,6 +214,9 @@
 	return probe.Address(ctx, c.pooled.DialContext, address)
 }
 
+// HasIdle reports whether a connection to the server at address is open and idle.
+func (c *Client) HasIdle(address string) bool { return c.conns.hasIdle(address) }
+
 // CloseIdle closes all idle connections.
 func (c *Client) CloseIdle() {
 	c.once.Do(c.setUp)
@@ -229,11 +235,13 @@
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		conn, err := connect(ctx, network, address)
+		connectCtx, connected := c.Reach.Connecting(ctx, address)
+		conn, err := connect(connectCtx, network, address)
+		connected(err)
 		if err != nil {
 			return nil, err
 		}
-		return c.conns.add(conn, address), nil
+		return c.conns.add(conn, address, c.Reach), nil
 	}
 	transport := func() *http.Transport {
 		return &http.Transport{
--- a/internal/backend/plain/conn.go
+++ b/internal/backend/plain/conn.go
@@ -9,6 +9,9 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
+
+	"github.com/nutmegway/nutmegway/internal/backend/reach"
 )
 
 // connTracker holds the open connections to each address.
@@ -17,7 +20,7 @@
 	open map[string]map[*trackedConn]struct{}
 }
 
-func (c *connTracker) add(conn net.Conn, address string) *trackedConn {
+func (c *connTracker) add(conn net.Conn, address string, monitor *reach.Monitor) *trackedConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.open == nil {
@@ -26,7 +29,7 @@
 	if c.open[address] == nil {
 		c.open[address] = make(map[*trackedConn]struct{})
 	}
-	tracked := &trackedConn{Conn: conn, address: address, tracker: c}
+	tracked := &trackedConn{Conn: conn, address: address, reach: monitor, tracker: c}
 	c.open[address][tracked] = struct{}{}
 	return tracked
 }
@@ -40,6 +43,14 @@
 	}
 }
 
+// hasIdle reports whether an idle connection to an address is open.
+func (c *connTracker) hasIdle(address string) bool {
+	c.mu.Lock()
+	conns := slices.Collect(maps.Keys(c.open[address]))
+	c.mu.Unlock()
+	return slices.ContainsFunc(conns, (*trackedConn).isIdle)
+}
+
 // closeWhenIdle closes each connection that is now open to an address as soon as it is idle.
 func (c *connTracker) closeWhenIdle(address string) {
 	c.mu.Lock()
@@ -56,6 +67,7 @@
 	net.Conn
 
 	address string
+	reach   *reach.Monitor
 	tracker *connTracker
 
 	// sealed is set once nothing may be written any more.
@@ -100,6 +112,12 @@
 	}
 }
 
+func (c *trackedConn) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idle && !c.closing
+}
+
 func (c *trackedConn) closeWhenIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -109,6 +127,18 @@
 	}
 }
 
+// Read reads from the connection.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.reach.Heard()
+	}
+	if errors.Is(err, syscall.ETIMEDOUT) {
+		c.reach.Suspect(c.address, reach.ReasonLost)
+	}
+	return n, err
+}
+
 // Write writes to the connection and counts the bytes written. A sealed connection accepts
 // none.
 func (c *trackedConn) Write(p []byte) (int, error) {
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -17,6 +17,7 @@
 	"github.com/nutmegway/nutmegway/internal/backend/generation"
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
 	"github.com/nutmegway/nutmegway/internal/backend/plain"
+	"github.com/nutmegway/nutmegway/internal/backend/reach"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/base/recovery"
 	"github.com/nutmegway/nutmegway/internal/base/rendezvous"
@@ -124,6 +125,7 @@
 	inventory          *inventory.Inventory
 	leaving            atomic.Bool
 	peers              *peer.Pool
+	reach              *reach.Monitor
 	liveMirror         *mirror.Mirror
 	// relayStore uses the key-value service through other hosts if it can't be reached
 	// directly. It is nil without a peer address.
@@ -160,6 +162,8 @@
 		h.gate.Link = permitlink.Client{Pool: h.peers}
 	}
 	h.Plain.Gate = h.gate
+	h.reach = h.newReachMonitor()
+	h.Plain.Reach = h.reach
 	h.inventoryUpdater = &inventoryUpdater{Decoder: h.Decoder, Inventory: h.inventory, Logger: h.Logger}
 	h.poisonRegistry = &poison.KVRegistry{
 		MayRemove: h.isResponsible, HostCount: func() int { return len(h.roster.Active()) }, Logger: h.Logger, Store: h.store,
@@ -250,6 +254,7 @@
 	}
 	supervise(groupCtx, "roster", h.roster.Run)
 	supervise(groupCtx, "runner", h.runner.Run)
+	supervise(groupCtx, "links to servers", h.reach.Run)
 	supervise(groupCtx, "inquiries", h.crashDetector.Run)
 	supervise(groupCtx, "contents", h.poisonRegistry.Run)
 	supervise(groupCtx, "leaving servers", h.leavingBroadcaster.Run)
