Hand requests on to another host while a host reaches no server

Cause: a request had only one way, the links of the host that its caller picked. The class: a host that judges itself healthy by some of its dependencies (store and configuration) serves work that needs another one.

Change: an isolated host offers the request to another host and sends it once that host has accepted, so a dead link or a host in the same trouble never leaves the outcome in doubt. The time budget counts from the acceptance on the other host's own clock. Attempts that may have run are deducted, a request is handed on once only, hosts are chosen at random, events pass as they come, and a caller that leaves ends the call. A host accepts under the same configuration or a later one, and not while it leaves or is isolated. If nobody accepts, the caller is rejected at once. The entry of a host says that it is isolated, so that others don't offer it requests.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -33,6 +33,7 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/roster"
 	"github.com/nutmegway/nutmegway/internal/fleet/software"
 	"github.com/nutmegway/nutmegway/internal/request/forward"
+	"github.com/nutmegway/nutmegway/internal/request/forwardlink"
 	"github.com/nutmegway/nutmegway/internal/request/origin"
 	"github.com/nutmegway/nutmegway/internal/request/permit"
 	"github.com/nutmegway/nutmegway/internal/request/permitlink"
@@ -114,11 +115,15 @@
 	Batches   *batchrun.Service
 	Forwarder *forward.Forwarder
 
-	config             atomic.Pointer[config.Config]
-	poisonRegistry     *poison.KVRegistry
-	drain              chan struct{}
-	drainOnce          sync.Once
-	crashDetector      *crashdetect.Detector
+	config         atomic.Pointer[config.Config]
+	poisonRegistry *poison.KVRegistry
+	drain          chan struct{}
+	drainOnce      sync.Once
+	crashDetector  *crashdetect.Detector
+	// forwardServer serves requests that other hosts hand on. It and links are nil without a
+	// peer address.
+	forwardServer      *forwardlink.Server
+	links              *peer.Links
 	gate               *permit.Gate
 	leavingBroadcaster *leaving.Broadcaster
 	loadController     *loading.Controller
@@ -205,6 +210,9 @@
 		Registry: &loading.StoreRegistry{CachedList: h.roster.Snapshot, Self: h.Settings.ID, Store: h.store}, Self: h.Settings.ID,
 		Spacing: h.Settings.OrderSpacing,
 	}
+	if h.Settings.PeerAddress != "" {
+		h.setUpForwarding()
+	}
 	h.retirements = retirementResponder{IsResponsible: h.isResponsible, Decoder: h.Decoder, Logger: h.Logger, Store: h.store, wake: make(chan struct{}, 1)}
 	h.serverMirror = new(mirror.Mirror)
 }
@@ -242,9 +250,11 @@
 			follow.Register(s, mirrors)
 			kvrelay.Register(s, h.relayStore)
 			permitlink.Register(s, h.gate)
+			h.forwardServer.Register(s)
 		}}
 		group.Go(func() error { return server.Run(groupCtx) })
 		defer func() { _ = h.peers.Close() }()
+		defer h.links.Close()
 	}
 	supervise := func(ctx context.Context, task string, run func(context.Context) error) {
 		group.Go(func() error { return recovery.Supervise(ctx, h.Logger, task, run) })
@@ -462,6 +472,9 @@
 	})
 	wait.For(ctx, h.Settings.leaveWait()-time.Since(start))
 	listeners.shutdown(shutdownCtx)
+	if h.forwardServer != nil {
+		h.forwardServer.AwaitIdle(shutdownCtx)
+	}
 	_ = group.Wait() // It returns no error.
 	if err := h.roster.Deregister(shutdownCtx); err != nil {
 		h.Logger.LogAttrs(ctx, slog.LevelInfo, "failed to withdraw host entry", slog.Any("error", err))
--- a/internal/entry/host/isolation.go
+++ b/internal/entry/host/isolation.go
@@ -1,9 +1,19 @@
 package host
 
 import (
+	"context"
 	"net"
+	"net/http"
+	"net/url"
+	"slices"
 
 	"github.com/nutmegway/nutmegway/internal/backend/reach"
+	"github.com/nutmegway/nutmegway/internal/base/kind"
+	"github.com/nutmegway/nutmegway/internal/fleet/config"
+	"github.com/nutmegway/nutmegway/internal/fleet/peer"
+	"github.com/nutmegway/nutmegway/internal/fleet/roster"
+	"github.com/nutmegway/nutmegway/internal/request/forward"
+	"github.com/nutmegway/nutmegway/internal/request/forwardlink"
 )
 
 // newReachMonitor returns the monitor of this host's links to the backend servers.
@@ -14,6 +24,7 @@
 	}
 	return &reach.Monitor{
 		Dial: dial, Logger: h.Logger,
+		OnChange: func(isolated bool) { h.roster.SetIsolated(isolated) },
 		Targets: func() []reach.Target {
 			var targets []reach.Target
 			for _, server := range h.inventory.All() {
@@ -25,3 +36,58 @@
 		},
 	}
 }
+
+// setUpForwarding lets this host hand requests on to other hosts and take theirs.
+func (h *Host) setUpForwarding() {
+	h.links = &peer.Links{Options: peer.LocalDialOptions()}
+	h.Forwarder.Relay = &forwardlink.Client{
+		ConfigVersion: h.configVersion, Hosts: h.connectedPeers, Links: h.links, Logger: h.Logger,
+	}
+	h.forwardServer = &forwardlink.Server{Host: h, Logger: h.Logger}
+}
+
+// connectedPeers returns the other active hosts that reach backend servers.
+func (h *Host) connectedPeers() []roster.Host {
+	return slices.DeleteFunc(h.roster.Active(), func(other roster.Host) bool {
+		return other.ID == h.Settings.ID || other.Isolated || other.PeerAddress == ""
+	})
+}
+
+// configVersion returns the version of the configuration in force, or zero if there is none.
+func (h *Host) configVersion() int64 {
+	if c := h.config.Load(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// AcceptForwarded implements forwardlink.Host. Another host's request must not be handled as
+// only an older configuration than that host's allows.
+func (h *Host) AcceptForwarded(configVersion int64) error {
+	switch {
+	case !h.Ready():
+		return kind.New(kind.Leaving, "the host is starting or leaving")
+	case h.reach.Isolated():
+		return kind.New(kind.Unavailable, "the host reaches no backend server either")
+	case h.configVersion() < configVersion:
+		return kind.New(kind.Unavailable, "the host has configuration %d, want %d", h.configVersion(), configVersion)
+	}
+	return nil
+}
+
+// ServeForwarded implements forwardlink.Host.
+func (h *Host) ServeForwarded(ctx context.Context, w http.ResponseWriter, request forward.Request) error {
+	c, err := h.ConfigInForce()
+	if err != nil {
+		return err
+	}
+	target, err := url.ParseRequestURI(request.Target)
+	if err != nil {
+		return kind.Wrap(kind.BadRequest, err)
+	}
+	route, ok := c.Match(request.Host, target.Path)
+	if !ok || route.Repeat == config.RepeatBatch {
+		return kind.New(kind.NotFound, "no route of single requests for host %q and path %q", request.Host, target.Path)
+	}
+	return h.Forwarder.Serve(ctx, w, request, route)
+}
--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -48,9 +48,9 @@
 	if conn, ok := p.conns[address]; ok {
 		return conn, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address, p.dialOptions()...)
+	conn, err := dial(address, p.Credentials, p.Options)
 	if err != nil {
-		return nil, classError.Wrap(err)
+		return nil, err
 	}
 	if p.conns == nil {
 		p.conns = make(map[string]*grpc.ClientConn)
@@ -82,8 +82,9 @@
 	return group.Err()
 }
 
-func (p *Pool) dialOptions() []grpc.DialOption {
-	transport := p.Credentials
+// dial returns a connection to address, which the first call on it establishes. If transport is
+// nil, the connection is in plain text.
+func dial(address string, transport credentials.TransportCredentials, more []grpc.DialOption) (*grpc.ClientConn, error) {
 	if transport == nil {
 		transport = insecure.NewCredentials()
 	}
@@ -94,5 +95,6 @@
 		grpc.WithStatsHandler(otelgrpc.NewClientHandler()),
 		grpc.WithTransportCredentials(transport),
 	}
-	return append(options, p.Options...)
+	conn, err := grpc.NewClient("passthrough:///"+address, append(options, more...)...)
+	return conn, classError.Wrap(err)
 }
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -44,7 +44,7 @@
 		return classError.Wrap(err)
 	}
 	server := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
-		grpc.UnaryInterceptor(s.recoverPanics))
+		grpc.UnaryInterceptor(s.recoverPanics), grpc.StreamInterceptor(s.recoverStreamPanics))
 	s.Register(server)
 	var group errgroup.Group
 	group.Go(func() error {
@@ -63,11 +63,7 @@
 func (s *Server) recoverPanics(
 	ctx context.Context, request any, info *grpc.UnaryServerInfo, handle grpc.UnaryHandler,
 ) (reply any, err error) {
-	logger := s.Logger
-	if logger == nil {
-		logger = slog.New(slog.DiscardHandler)
-	}
-	err = recovery.Call(logger, info.FullMethod, func() error {
+	err = recovery.Call(s.logger(), info.FullMethod, func() error {
 		var err error
 		reply, err = handle(ctx, request)
 		return err
@@ -75,6 +71,18 @@
 	return reply, err
 }
 
+// recoverStreamPanics does the same for calls with streams.
+func (s *Server) recoverStreamPanics(server any, stream grpc.ServerStream, info *grpc.StreamServerInfo, handle grpc.StreamHandler) error {
+	return recovery.Call(s.logger(), info.FullMethod, func() error { return handle(server, stream) })
+}
+
+func (s *Server) logger() *slog.Logger {
+	if s.Logger == nil {
+		return slog.New(slog.DiscardHandler)
+	}
+	return s.Logger
+}
+
 // LocalDialOptions returns dial options for hosts that are a few milliseconds
 // away. Failed connections are detected quickly, so that callers can soon try
 // another host or the store instead.
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -47,6 +47,9 @@
 	ID      string `json:"id"`
 	// Incarnation differs at each start of the process.
 	Incarnation string `json:"incarnation"`
+	// Isolated reports that the host reaches no backend server. It still serves callers, over
+	// other hosts.
+	Isolated bool `json:"isolated,omitempty"`
 	// Leaving reports that the host finishes its requests and takes no new ones.
 	Leaving bool `json:"leaving"`
 	// PeerAddress is the address for other hosts, or empty if they cannot connect.
@@ -66,10 +69,11 @@
 	Self      Host
 	Store     kv.Store
 
-	mu      sync.Mutex
-	hosts   map[string]Host
-	lease   kv.LeaseID
-	leaving bool
+	mu       sync.Mutex
+	hosts    map[string]Host
+	isolated bool
+	lease    kv.LeaseID
+	leaving  bool
 	// revisions holds the revisions of the keys of the list, as the mirror reported
 	// them.
 	revisions map[string]int64
@@ -115,6 +119,15 @@
 	r.wake = nil
 }
 
+// SetIsolated announces to the other hosts whether this one reaches backend servers.
+func (r *Roster) SetIsolated(isolated bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isolated, r.registered = isolated, false
+	close(r.wakeChannel())
+	r.wake = nil
+}
+
 // Hosts returns the listed hosts that are not leaving, sorted by id. This host
 // comes last, listed or not, unless it is leaving.
 func (r *Roster) Hosts() []Host {
@@ -127,7 +140,7 @@
 		}
 	}
 	if !r.leaving {
-		hosts = append(hosts, r.Self)
+		hosts = append(hosts, r.selfEntry())
 	}
 	return hosts
 }
@@ -226,6 +239,16 @@
 	return slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return h.Cores < minCapacityShare*largest })
 }
 
+// Connected returns the hosts that reach backend servers, or all hosts if none does. Duties
+// that need backend servers are theirs.
+func Connected(hosts []Host) []Host {
+	connected := slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return h.Isolated })
+	if len(connected) == 0 {
+		return hosts
+	}
+	return connected
+}
+
 // Get returns the listed host with the id, leaving or not.
 func (r *Roster) Get(id string) (Host, bool) {
 	r.mu.Lock()
@@ -329,8 +352,7 @@
 // next renewal by Run uses a new lease.
 func (r *Roster) Register(ctx context.Context, lease kv.LeaseID) error {
 	r.mu.Lock()
-	self := r.Self
-	self.Leaving = r.leaving
+	self := r.selfEntry()
 	r.mu.Unlock()
 	if lease == 0 {
 		granted, err := r.Store.GrantLease(ctx, leaseTTL)
@@ -352,10 +374,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lease = lease
-	r.registered = err == nil && self.Leaving == r.leaving
+	r.registered = err == nil && self == r.selfEntry()
 	return err
 }
 
+// selfEntry returns the current entry of this host. r.mu is held.
+func (r *Roster) selfEntry() Host {
+	self := r.Self
+	self.Isolated, self.Leaving = r.isolated, r.leaving
+	return self
+}
+
 // Deregister removes this host's entry by revoking its lease.
 func (r *Roster) Deregister(ctx context.Context) error {
 	r.mu.Lock()
--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -59,7 +59,15 @@
 
 // recordEnd records the outcome of an attempt.
 func (x *exchange) recordEnd(ctx context.Context, a answer) {
+	if a.relayed {
+		x.attempts.recordRelayEnd(a.ran)
+		x.metrics.countAttempt(ctx, attemptRelayed)
+		return
+	}
 	x.attempts.recordEnd(a.ran)
+	if a.response == nil && a.ran == kind.RanNo && !errors.Is(a.err, plain.ErrNotAdmitted) {
+		x.attempts.unreached = true
+	}
 	if errors.Is(a.err, plain.ErrNotAdmitted) {
 		x.attempts.recordNoPermit(kind.Of(a.err).RetryAfter)
 	}
@@ -113,6 +121,7 @@
 func (x *exchange) run(ctx context.Context) (answer, error) {
 	var hedge <-chan time.Time
 	var failed answer
+	isolationChanged := x.Client.Reach.Changed()
 	x.startAttempt(ctx)
 	if delay, ok := x.attempts.hedgeDelay(); ok {
 		timer := time.NewTimer(delay)
@@ -126,7 +135,13 @@
 			return answer{}, x.contextError(ctx)
 		case <-hedge:
 			hedge = nil
+			x.suspectLinks()
 			x.startAttempt(ctx)
+		case <-isolationChanged:
+			isolationChanged = x.Client.Reach.Changed()
+			if x.isIsolated() {
+				x.startAttempt(ctx)
+			}
 		case a := <-x.answers:
 			x.recordEnd(ctx, a)
 			if a.response != nil && x.isFinal(a) {
@@ -174,14 +189,26 @@
 	return kind.New(kind.DeadlineExceeded, "the deadline passed while the request was at a backend server")
 }
 
-// startAttempt starts another attempt if one is allowed and there is a server that has not
-// been tried.
+// startAttempt starts another attempt if one is allowed: at a server that has not been tried,
+// or over another host if this one reaches none.
 func (x *exchange) startAttempt(ctx context.Context) {
-	if !x.attempts.mayStart() || ctx.Err() != nil || !x.mayContinue() {
+	if ctx.Err() != nil {
 		return
 	}
-	candidate, ok := x.attempts.chooseServer(x.candidates())
-	if !ok {
+	isolated := x.isIsolated()
+	if isolated && x.mayRelay() {
+		x.startRelay(ctx)
+		return
+	}
+	candidates := x.candidates()
+	if isolated {
+		candidates = x.withOpenConnection(candidates)
+	}
+	candidate, ok := x.attempts.chooseServer(candidates)
+	if !ok || !x.attempts.mayStart() || !x.mayContinue() {
+		if x.attempts.unreached && x.attempts.pending == 0 && x.mayRelay() {
+			x.startRelay(ctx)
+		}
 		return
 	}
 	x.attempts.recordStart(candidate.ID)
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -48,7 +48,12 @@
 	Header http.Header
 	Host   string
 	ID     string
-	Method string
+	// MaxAttempts, if not zero, bounds the servers that may run the request, in addition to
+	// the route.
+	MaxAttempts int
+	Method      string
+	// Relayed is set if another host handed the request on to this one.
+	Relayed bool
 	// Target is the path and the query, exactly as the caller sent them.
 	Target string
 }
@@ -80,6 +85,8 @@
 	Logger        *slog.Logger
 	// Origins holds where the streams of callers began; nil resumes them at any server.
 	Origins *origin.Origins
+	// Relay hands requests on while this host reaches no server; nil hands none on.
+	Relay Relay
 	// Self is the id of this host.
 	Self string
 	// Zone is the availability zone of this host.
@@ -99,6 +106,8 @@
 	hasMore bool
 	err     error
 	ran     kind.Ran
+	// relayed is set if the answer came over another host. server is empty then.
+	relayed bool
 }
 
 func (a answer) close() {
@@ -122,6 +131,9 @@
 	deadline := request.Arrived.Add(budget)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	if request.MaxAttempts > 0 {
+		route.MaxAttempts = min(max(route.MaxAttempts, 1), request.MaxAttempts)
+	}
 	x := &exchange{
 		Forwarder: f, request: request, deadline: deadline, service: route.PickService(rand.Float64()),
 		attempts:   attempts{chooser: f.Chooser(), route: route, tried: make(map[string]struct{})},
@@ -153,7 +165,7 @@
 	case err == nil:
 		x.reportAnswered()
 		return nil
-	case errors.Is(err, errAnswerInterrupted) && ctx.Err() == nil:
+	case errors.Is(err, errAnswerInterrupted) && ctx.Err() == nil && !final.relayed:
 		x.logFailedAttempt(ctx, answer{server: final.server, err: err, ran: kind.RanYes})
 		x.unanswered[final.server.ID] = x.newIncident(final.server, true)
 		x.investigateUnanswered(ctx, err)
@@ -223,17 +235,25 @@
 		f.Inventory.BackOff(candidate.ID, minRetryAfter)
 		return a
 	}
-	if isEventStream(response) {
+	a = readHead(a)
+	if a.response != nil && !isEventStream(response) {
+		f.Inventory.RecordAnswer(candidate.ID, ParseLoad(response.Header.Get(f.Dialect.Load)))
+	}
+	return a
+}
+
+// readHead reads up to bufferBytes of the body of an answer, or nothing of an event stream.
+func readHead(a answer) answer {
+	if isEventStream(a.response) {
 		a.hasMore = true
 		return a
 	}
-	a.head, err = io.ReadAll(io.LimitReader(response.Body, bufferBytes))
+	head, err := io.ReadAll(io.LimitReader(a.response.Body, bufferBytes))
 	if err != nil {
-		_ = response.Body.Close()
-		return answer{server: candidate.Server, err: err, ran: kind.RanUnknown}
+		_ = a.response.Body.Close()
+		return answer{server: a.server, err: err, ran: kind.RanUnknown}
 	}
-	a.hasMore = len(a.head) == bufferBytes
-	f.Inventory.RecordAnswer(candidate.ID, ParseLoad(response.Header.Get(f.Dialect.Load)))
+	a.head, a.hasMore = head, len(head) == bufferBytes
 	return a
 }
 
--- a/internal/request/forward/instruments.go
+++ b/internal/request/forward/instruments.go
@@ -30,7 +30,7 @@
 		logger.Error("cannot create metric", slog.Any("error", err))
 	}
 	tries, err := meter.Int64Counter("nutmegway.forward.tries",
-		metric.WithDescription("Tries of single requests at backend servers by outcome: answered, broken, not-run or silent."))
+		metric.WithDescription("Tries of single requests at backend servers by outcome: answered, broken, not-run, handed-on or silent."))
 	if err != nil {
 		logger.Error("cannot create metric", slog.Any("error", err))
 	}
@@ -44,6 +44,8 @@
 	attemptBroken = "broken"
 	// attemptNotRun is an attempt that has not run the request.
 	attemptNotRun = "not-run"
+	// attemptRelayed is one or more attempts that another host made.
+	attemptRelayed = "handed-on"
 	// attemptSilent is an attempt without an answer before the request ended.
 	attemptSilent = "silent"
 )
--- a/internal/request/forward/policy.go
+++ b/internal/request/forward/policy.go
@@ -64,12 +64,51 @@
 	nextPermit time.Duration
 	// tried holds the ids of the servers of all attempts.
 	tried map[string]struct{}
+
+	// relaying is the number of attempts that a pending relay stands for; zero if there is
+	// none. relays counts the relays that have ended.
+	relaying, relays int
+	// unreached is set once a server could not be reached.
+	unreached bool
+}
+
+// maxAttempts returns the number of servers that may run the request.
+func (a *attempts) maxAttempts() int { return max(a.route.MaxAttempts, 1) }
+
+// mayRelay reports whether the request may be handed on to another host.
+func (a *attempts) mayRelay() bool {
+	if a.relays >= maxRelays || a.relaying > 0 || a.sequential && a.pending > 0 {
+		return false
+	}
+	if a.route.Repeat != config.RepeatIdempotent {
+		return a.mayHaveRun+a.pending == 0
+	}
+	return a.mayHaveRun+a.pending < a.maxAttempts()
+}
+
+// recordRelayStart records that the request is handed on, and returns the number of servers
+// that may run it there.
+func (a *attempts) recordRelayStart() int {
+	a.relaying = a.maxAttempts() - a.mayHaveRun - a.pending
+	a.pending += a.relaying
+	return a.relaying
+}
+
+// recordRelayEnd records the outcome of a relay. If the request may have run, all its attempts
+// are used up.
+func (a *attempts) recordRelayEnd(ran kind.Ran) {
+	a.pending -= a.relaying
+	if ran != kind.RanNo {
+		a.mayHaveRun += a.relaying
+	}
+	a.relaying = 0
+	a.relays++
 }
 
 // mayStart reports whether another attempt is allowed. Pending attempts count as if the
 // request may have run.
 func (a *attempts) mayStart() bool {
-	limit := max(a.route.MaxAttempts, 1)
+	limit := a.maxAttempts()
 	if a.sequential && a.pending > 0 {
 		return false
 	}
--- a/internal/request/forward/resume.go
+++ b/internal/request/forward/resume.go
@@ -45,7 +45,7 @@
 // has started again since it was chosen may have other software by now, so that its streams
 // have no known origin.
 func (x *exchange) recordOrigin(final answer) {
-	if x.Origins == nil || !x.attempts.route.Streaming || !isEventStream(final.response) || final.response.StatusCode/100 != 2 {
+	if x.Origins == nil || final.relayed || !x.attempts.route.Streaming || !isEventStream(final.response) || final.response.StatusCode/100 != 2 {
 		return
 	}
 	if current, known := x.Inventory.Get(final.server.ID); known && current.Started != final.server.Started {
--- /dev/null
+++ b/internal/request/forwardlink/forwardlink.go
@@ -0,0 +1,50 @@
+// Package forwardlink implements the gRPC call with which a host that reaches no backend
+// server hands a caller's request on to another host. The other host sends the request to
+// servers as if it were its own caller's, and streams the answer back.
+//
+// A request is offered first and sent only once the offer was accepted. So it has certainly
+// not run if a dead link or a host in the same trouble is tried, and the time budget counts
+// from the acceptance on the other host's own clock.
+package forwardlink
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/nutmegway/nutmegway/internal/request/forwardlink/forwardlinkpb"
+)
+
+var classError = errs.Class("forwardlink")
+
+const (
+	// offerTimeout bounds the time until another host accepts a request.
+	offerTimeout = 150 * time.Millisecond
+	// maxOffers bounds the hosts that one request is offered to.
+	maxOffers = 3
+	// refusalMemory is how long a host that did not accept a request is tried last.
+	refusalMemory = time.Second
+	// maxAcceptanceAge is how old an acceptance may be when its request arrives. A request
+	// that a stalled link delivers later may have no caller any more.
+	maxAcceptanceAge = time.Second
+)
+
+func encodeHeader(header http.Header) []*forwardlinkpb.Header {
+	encoded := make([]*forwardlinkpb.Header, 0, len(header))
+	for name, values := range header {
+		if len(values) > 0 {
+			encoded = append(encoded, &forwardlinkpb.Header{Name: name, Values: slices.Clone(values)})
+		}
+	}
+	return encoded
+}
+
+func decodeHeader(encoded []*forwardlinkpb.Header) http.Header {
+	header := make(http.Header, len(encoded))
+	for _, h := range encoded {
+		header[h.GetName()] = h.GetValues()
+	}
+	return header
+}
