Move batches and orders away from hosts that reach no server

Cause: owners of batches and of engines were chosen among the hosts that the store lists, whether or not they reach servers.

Change: hosts that reach no server own no models and no engines while others do, by the flag in their entries. A host that finds itself isolated releases its batches with the texts so far, as a leaving host does, as long as another host is connected. If all are isolated, batches stay where they are.

TestBatchOfHostWithoutServersRunsElsewhere and TestEnginesOfHostWithoutServersGetOrders failed before (not done within 10 s) and pass now.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -271,6 +271,7 @@
 	supervise(groupCtx, "software versions", h.softwareHistory.Run)
 	supervise(groupCtx, "stream origins", h.Forwarder.Origins.Run)
 	supervise(dutiesCtx, "batches", h.Batches.Run)
+	supervise(dutiesCtx, "release of batches", h.releaseWhileIsolated)
 	supervise(dutiesCtx, "orders", h.loadController.Run)
 	supervise(dutiesCtx, "retirements", h.retirements.Run)
 	group.Go(func() error {
@@ -311,7 +312,7 @@
 	prefixes := h.Decoder.Prefixes()
 	h.liveMirror = &mirror.Mirror{CoalesceDelay: h.Settings.coalesceDelay(), Prefix: mirror.LivePrefix, WatchTimeout: sharedWatchWait, OnChange: func(c mirror.Change) {
 		h.roster.Apply(c)
-		h.loadController.SetHosts(roster.IDs(h.roster.Active()))
+		h.loadController.SetHosts(roster.IDs(roster.Connected(h.roster.Active())))
 		h.Batches.Index.Apply(c)
 		h.poisonRegistry.Apply(c)
 		h.leavingBroadcaster.Apply(c)
--- a/internal/entry/host/isolation.go
+++ b/internal/entry/host/isolation.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"time"
 
 	"github.com/nutmegway/nutmegway/internal/backend/reach"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
@@ -16,6 +17,10 @@
 	"github.com/nutmegway/nutmegway/internal/request/forwardlink"
 )
 
+// releaseInterval is the time between two releases of batches while the host reaches no
+// backend server. Hosts that don't know this yet may still hand batches over to it.
+const releaseInterval = 300 * time.Millisecond
+
 // newReachMonitor returns the monitor of this host's links to the backend servers.
 func (h *Host) newReachMonitor() *reach.Monitor {
 	dial := h.Plain.Dial
@@ -91,3 +96,24 @@
 	}
 	return h.Forwarder.Serve(ctx, w, request, route)
 }
+
+// releaseWhileIsolated releases the batches of this host while it reaches no backend server
+// and another host does.
+func (h *Host) releaseWhileIsolated(ctx context.Context) error {
+	for ctx.Err() == nil {
+		changed := h.reach.Changed()
+		var again <-chan time.Time
+		if h.reach.Isolated() {
+			if h.runner.Running() > 0 && len(h.connectedPeers()) > 0 {
+				h.runner.Release(ctx)
+			}
+			again = time.After(releaseInterval)
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-again:
+		}
+	}
+	return nil
+}
--- a/internal/rollout/batchrun/owners.go
+++ b/internal/rollout/batchrun/owners.go
@@ -16,10 +16,10 @@
 // A training step of some hundred streams has thousands of events a second. The
 // weaker hosts of a fleet have only a part of a core, which such a step uses
 // up. So only high-capacity hosts own batches, and no host owns two models
-// while another high-capacity host owns none. The owner is empty if there are
-// no hosts.
+// while another high-capacity host owns none. Hosts that reach no backend server
+// own none while others do. The owner is empty if there are no hosts.
 func Owners(models []string, hosts []roster.Host) map[string]string {
-	highCapacity := roster.IDs(roster.HighCapacity(hosts))
+	highCapacity := roster.IDs(roster.HighCapacity(roster.Connected(hosts)))
 	owners := make(map[string]string, len(models))
 	unassigned := slices.Clone(highCapacity)
 	for _, model := range slices.Sorted(slices.Values(models)) {
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -281,6 +281,9 @@
 	})
 	now := time.Now()
 	for _, br := range runs {
+		if br.ctx.Err() != nil {
+			continue // It is being handed over.
+		}
 		route, ok := c.Match(br.batch.Host, br.batch.Target)
 		if !ok {
 			br.finishAllDead(now, "no route matches the batch")
@@ -320,11 +323,18 @@
 	}
 }
 
-// Drain stops all items and releases the batches, so that other hosts take them over
-// with the partial texts received so far.
+// Drain starts no more items and releases all batches.
 func (r *Runner) Drain(ctx context.Context) {
 	r.mu.Lock()
 	r.draining, r.finishing = true, true
+	r.mu.Unlock()
+	r.Release(ctx)
+}
+
+// Release stops the items of all batches that run now and releases the batches, so that other
+// hosts take them over with the partial texts received so far.
+func (r *Runner) Release(ctx context.Context) {
+	r.mu.Lock()
 	runs := slices.Collect(maps.Values(r.runs))
 	r.mu.Unlock()
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/rollout/batchrun/service.go
+++ b/internal/rollout/batchrun/service.go
@@ -328,7 +328,7 @@
 // with the same roster choose the same successor. An owner that has restarted may take
 // its batch over itself.
 func (s *Service) successorOf(head batch.Head) string {
-	hosts := s.Roster.Hosts()
+	hosts := roster.Connected(s.Roster.Hosts())
 	others := slices.DeleteFunc(slices.Clone(hosts), func(h roster.Host) bool {
 		return h.ID == head.Owner.Host && !s.hasRestarted(head.Owner)
 	})
--- a/internal/rollout/loading/registry.go
+++ b/internal/rollout/loading/registry.go
@@ -62,14 +62,19 @@
 	if r.CachedList != nil {
 		list := r.CachedList()
 		if epoch := list.Epoch(); epoch != 0 && epoch != r.rejectedEpoch.Load() {
-			return Permit{Hosts: roster.IDs(list.Hosts), list: list}, nil
+			return newPermit(list), nil
 		}
 	}
 	list, err := roster.Read(ctx, r.Store)
 	if err != nil {
 		return Permit{}, err
 	}
-	return Permit{Hosts: roster.IDs(list.Hosts), list: list}, nil
+	return newPermit(list), nil
+}
+
+// newPermit returns the permit for a list. Hosts that reach no engines send no orders.
+func newPermit(list roster.List) Permit {
+	return Permit{Hosts: roster.IDs(roster.Connected(list.Hosts)), list: list}
 }
 
 // RecordOrders implements [OrderRegistry]. The fencing token is the store revision
