Take no refused connection for a crash while a host reaches no server

What callers would see: a request that was at a server when its host's links were reset is taken for one that crashed the server, since the probe is refused too. The content is then held or refused by all hosts.

Cause: the host's own view of a link was proof of a server's state, and was believed by the others.

Change: a refused connection counts only if another server accepts one. Otherwise the server's entry decides, as for a server that doesn't answer.

--- a/internal/backend/crashdetect/crashdetect.go
+++ b/internal/backend/crashdetect/crashdetect.go
@@ -48,6 +48,13 @@
 	Get(id string) (inventory.Server, bool)
 }
 
+// Links tells whether this host reaches backend servers.
+type Links interface {
+	// ReachesAny reports whether a server other than the one at the address accepts a
+	// connection now, or no other is known.
+	ReachesAny(ctx context.Context, except string) bool
+}
+
 // Incident is a request that a server left unanswered.
 type Incident struct {
 	// Broken is set if the connection broke; otherwise the request timed out.
@@ -83,6 +90,9 @@
 
 // Detector investigates incidents. The fields are set before Run.
 type Detector struct {
+	// Links, if not nil, is asked before a refused connection counts as evidence: the links of
+	// this host may be at fault.
+	Links  Links
 	Logger *slog.Logger
 	// OnEnded, if not nil, is called for each incident whose server has ended.
 	// Concurrent incidents with the same start of a server and the same content count
@@ -186,7 +196,12 @@
 	if incident.Broken {
 		last := probe.NoAnswer
 		for range probeCount {
-			if last = d.Prober.Probe(ctx, incident.Server.Address); last == probe.NotListening {
+			last = d.Prober.Probe(ctx, incident.Server.Address)
+			if last == probe.NotListening && d.linksAtFault(ctx, incident) {
+				last = probe.NoAnswer
+				break
+			}
+			if last == probe.NotListening {
 				return evidenceRefused
 			}
 			wait.For(ctx, probeInterval)
@@ -210,3 +225,13 @@
 	}
 	return ""
 }
+
+// linksAtFault reports whether this host reaches no other server either.
+func (d *Detector) linksAtFault(ctx context.Context, incident Incident) bool {
+	if d.Links == nil || d.Links.ReachesAny(ctx, incident.Server.Address) {
+		return false
+	}
+	d.Logger.LogAttrs(ctx, slog.LevelInfo, "refused connection is no evidence: no other server is reached", slog.String("server", incident.Server.ID),
+		slog.String("request-id", incident.RequestID))
+	return true
+}
--- a/internal/backend/crashdetect/crashdetect_test.go
+++ b/internal/backend/crashdetect/crashdetect_test.go
@@ -110,3 +110,38 @@
 		detector.Submit(crashdetect.Incident{Content: uint64(n), Server: server})
 	}
 }
+
+// fakeLinks is true if this host reaches other servers.
+type fakeLinks bool
+
+func (l fakeLinks) ReachesAny(context.Context, string) bool { return bool(l) }
+
+// TestRefusedConnectionOfHostWithoutLinksIsNoCrash has the network refuse all connections of this
+// host. The server's entry tells whether its process has ended.
+func TestRefusedConnectionOfHostWithoutLinksIsNoCrash(t *testing.T) {
+	for reached, cases := range map[fakeLinks]map[bool]bool{false: {false: false, true: true}, true: {false: true}} {
+		for entryExpires, want := range cases {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				servers := &inventory.Inventory{}
+				servers.Set(server)
+				ended := 0
+				detector := &crashdetect.Detector{
+					Links: reached, Logger: slog.New(slog.DiscardHandler), OnEnded: func(crashdetect.Incident) { ended++ },
+					Prober: &fakeProber{results: []probe.Result{probe.NotListening}}, Servers: servers,
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				var group errgroup.Group
+				group.Go(func() error { return detector.Run(ctx) })
+				detector.Submit(crashdetect.Incident{Broken: true, Content: 7, Server: server})
+				if entryExpires {
+					time.AfterFunc(2*time.Second, func() { servers.Remove("a") })
+				}
+				wait.For(ctx, time.Minute)
+				cancel()
+				is.NoErr(group.Wait())
+				is.Equal(ended == 1, want)
+			})
+		}
+	}
+}
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -173,7 +173,7 @@
 	h.poisonRegistry = &poison.KVRegistry{
 		MayRemove: h.isResponsible, HostCount: func() int { return len(h.roster.Active()) }, Logger: h.Logger, Store: h.store,
 	}
-	h.crashDetector = &crashdetect.Detector{Logger: h.Logger, OnEnded: h.recordCrash, Prober: h.Plain, Servers: h.inventory}
+	h.crashDetector = &crashdetect.Detector{Links: h.reach, Logger: h.Logger, OnEnded: h.recordCrash, Prober: h.Plain, Servers: h.inventory}
 	h.Forwarder = &forward.Forwarder{
 		Client: h.Plain, Quarantine: h.poisonRegistry, Dialect: h.Dialect, CrashDetector: h.crashDetector, Inventory: h.inventory, Logger: h.Logger,
 		Self: h.Settings.ID, Zone: h.Settings.Zone,
