Resume no stream by a version that the store doesn't confirm

What callers saw elsewhere (ORDER): in a release, a host that was out of step for a few seconds took streams up that had begun on servers of a new version, and let them go on at a server of the old one.

It can happen here.

Cause: when the store did not answer, the host fell back on the versions that it had heard of, although it could not have heard of later ones. Change: a stream of unknown origin is resumed only if the store answers now, with no origin and with a record of one version.

Ruled out: hosts that were paused and have the store again; the look into the store covers them. Open: a server that starts again under its old id with new software, at a host that has not heard of it; answers don't name their software version. Only suspected.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -181,7 +181,9 @@
 	h.softwareHistory = &software.History{
 		Inventory: h.inventory, IsResponsible: h.isResponsible, Logger: h.Logger, Services: h.resumableServices, Store: h.store,
 	}
-	h.Forwarder.Origins = &origin.Origins{Logger: h.Logger, Recent: h.softwareHistory.Recent, Store: h.store}
+	h.Forwarder.Origins = &origin.Origins{
+		Confirm: h.softwareHistory.Confirm, Logger: h.Logger, Recent: h.softwareHistory.Recent, Store: h.store,
+	}
 	h.roster = &roster.Roster{
 		Logger: h.Logger, Store: h.store,
 		Self: roster.Host{
--- a/internal/fleet/software/software.go
+++ b/internal/fleet/software/software.go
@@ -83,12 +83,37 @@
 }
 
 // Recent returns the software versions that servers of the service have or had within
-// Window. complete is false if there may have been others.
+// Window, as far as this host has heard. complete is false if there may have been others.
 func (h *History) Recent(service string) (versions []string, complete bool) {
-	versions = h.Inventory.RecentSoftware(service, Window)
 	h.mu.Lock()
-	defer h.mu.Unlock()
 	r, ok := h.records[service]
+	h.mu.Unlock()
+	return h.recent(service, r), ok
+}
+
+// Confirm is Recent with the record that is in the store now. A host that was paused or cut
+// off doesn't know the versions that have come meanwhile. complete is false if the store
+// doesn't answer.
+func (h *History) Confirm(ctx context.Context, service string) (versions []string, complete bool) {
+	stored, err := h.Store.Get(ctx, prefix+service)
+	if err != nil {
+		h.Logger.LogAttrs(ctx, slog.LevelInfo, "software versions not confirmed", slog.String("service", service), slog.Any("error", err))
+		return nil, false
+	}
+	if stored.ModRevision == 0 {
+		return nil, false
+	}
+	var r record
+	if err := json.Unmarshal(stored.Value, &r); err != nil {
+		h.Logger.LogAttrs(ctx, slog.LevelWarn, "invalid record of software versions", slog.String("key", stored.Key), slog.Any("error", err))
+		return nil, false
+	}
+	return h.recent(service, r), true
+}
+
+// recent returns the versions that this host has seen within Window and those of a record.
+func (h *History) recent(service string, r record) []string {
+	versions := h.Inventory.RecentSoftware(service, Window)
 	versions = append(versions, r.Serving...)
 	for version, gone := range r.Gone {
 		if time.Since(time.UnixMilli(gone)) < Window {
@@ -96,7 +121,7 @@
 		}
 	}
 	slices.Sort(versions)
-	return slices.Compact(versions), ok
+	return slices.Compact(versions)
 }
 
 // Run writes the records that this host is responsible for until ctx ends.
--- a/internal/request/origin/origin.go
+++ b/internal/request/origin/origin.go
@@ -57,6 +57,8 @@
 // Origins holds the origins of streams. The exported fields are set before the first call.
 type Origins struct {
 	Logger *slog.Logger
+	// Confirm is Recent after a look into the store.
+	Confirm func(ctx context.Context, service string) (versions []string, complete bool)
 	// Recent returns the software versions that a service has or had lately, and false if
 	// there may have been others.
 	Recent func(service string) (versions []string, complete bool)
@@ -93,7 +95,8 @@
 
 // Find returns where the stream of a caller's attempt began. services are those that its
 // route may choose from. An id that isn't recorded anywhere began at the only version of the
-// only service, if that is certain.
+// only service, if that is certain. It isn't while the store doesn't answer: a version that
+// this host doesn't know may have come meanwhile.
 func (o *Origins) Find(ctx context.Context, id string, services []string) (Origin, bool) {
 	o.mu.Lock()
 	e, ok := o.byID[id]
@@ -101,44 +104,43 @@
 	if ok && id != "" {
 		return e.Origin, true
 	}
-	if origin, ok := o.read(ctx, id); ok {
-		return origin, true
+	if origin, ok, err := o.read(ctx, id); ok || err != nil {
+		return origin, ok
 	}
 	if len(services) != 1 {
 		return Origin{}, false
 	}
-	version, ok := o.onlyVersion(services[0])
+	version, ok := onlyVersion(o.Confirm(ctx, services[0]))
 	return Origin{Service: services[0], Software: version}, ok
 }
 
-// onlyVersion returns the version of a service that has had no other lately.
-func (o *Origins) onlyVersion(service string) (string, bool) {
-	versions, complete := o.Recent(service)
+// onlyVersion returns the only one of the versions. It returns false if there may be others.
+func onlyVersion(versions []string, complete bool) (string, bool) {
 	if !complete || len(versions) != 1 {
 		return "", false
 	}
 	return versions[0], true
 }
 
-// read reads the origin of a stream from the store.
-func (o *Origins) read(ctx context.Context, id string) (Origin, bool) {
+// read reads the origin of a stream from the store, if it holds one.
+func (o *Origins) read(ctx context.Context, id string) (found Origin, ok bool, err error) {
 	if id == "" {
-		return Origin{}, false
+		return Origin{}, false, nil
 	}
 	stored, err := o.Store.Get(ctx, key(id))
 	if err != nil {
 		o.Logger.LogAttrs(ctx, slog.LevelInfo, "origin of a stream not read", slog.String("stream", id), slog.Any("error", err))
-		return Origin{}, false
+		return Origin{}, false, err
 	}
 	if stored.ModRevision == 0 {
-		return Origin{}, false
+		return Origin{}, false, nil
 	}
 	var v value
 	if err := json.Unmarshal(stored.Value, &v); err != nil || v.ID != id {
 		o.Logger.LogAttrs(ctx, slog.LevelWarn, "invalid origin of a stream", slog.String("key", stored.Key), slog.Any("error", err))
-		return Origin{}, false
+		return Origin{}, false, nil
 	}
-	return v.Origin, true
+	return v.Origin, true, nil
 }
 
 // key returns the key of the stream of an attempt. Callers choose the ids, which may be longer
@@ -197,7 +199,7 @@
 			continue
 		}
 		if _, known := certain[e.Service]; !known {
-			_, certain[e.Service] = o.onlyVersion(e.Service)
+			_, certain[e.Service] = onlyVersion(o.Recent(e.Service))
 		}
 		if !certain[e.Service] || e.targets > 1 {
 			pending = append(pending, e)
--- a/internal/request/origin/origin_test.go
+++ b/internal/request/origin/origin_test.go
@@ -25,7 +25,8 @@
 
 func newOrigins(store *kvmemory.Store, recent *recentVersions) *origin.Origins {
 	return &origin.Origins{
-		Logger: slog.New(slog.DiscardHandler), Recent: func(string) ([]string, bool) { return recent.versions, recent.complete }, Store: store,
+		Confirm: func(context.Context, string) ([]string, bool) { return recent.versions, recent.complete },
+		Logger:  slog.New(slog.DiscardHandler), Recent: func(string) ([]string, bool) { return recent.versions, recent.complete }, Store: store,
 	}
 }
 
@@ -121,3 +122,15 @@
 		is.Equal(found.Software, "a")
 	})
 }
+
+// TestOnlyKnownVersionIsNotTakenForOriginWhileTheStoreIsAway has the store fail at a host that
+// knows one version. Others may have come since it last heard from the store.
+func TestOnlyKnownVersionIsNotTakenForOriginWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &kvmemory.Store{}
+		store.Inject(func(string) kvmemory.Fault { return kvmemory.FaultRefused })
+		o := newOrigins(store, &recentVersions{versions: []string{"a"}, complete: true})
+		_, ok := o.Find(t.Context(), "x", []string{"s"})
+		is.New(t).True(!ok)
+	})
+}
