Answer the requests of a leaving host before it stops

TestRequestsLateInTheGracePeriodAreAnswered has a host leave while a server is stuck: the old code passed requests on whose deadlines were far beyond the stop, and closed their connections without an answer, as it did with those in flight.

Cause: the stop was enforced on connections, and nobody asked for it when a request was taken. Change: a request that states a time budget beyond the stop is rejected at once and not run, so that its caller goes to another host; what has no answer 0.2 s before the stop gets 502, or 503 if it has not been at a server. Requests after the listener has closed were never read: net/http closes their connections.

Ruled out: requests without any stated budget keep being taken while callers may not know that the host leaves (TestDrainingHostFinishesRequests); they are answered at the stop too.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -60,6 +60,8 @@
 	// shutdownMargin is the part of the grace period that remains after the requests in
 	// flight have been aborted.
 	shutdownMargin = 700 * time.Millisecond
+	// answerMargin is the time before that for answering the requests in flight.
+	answerMargin = 200 * time.Millisecond
 	// maxAddresses bounds the number of addresses that a host returns to a caller. In a
 	// larger fleet, different hosts return different parts of the addresses.
 	maxAddresses = 64
@@ -129,6 +131,7 @@
 	loadController     *loading.Controller
 	inventory          *inventory.Inventory
 	leaving            atomic.Bool
+	stopTime           *stopTime
 	peers              *peer.Pool
 	reach              *reach.Monitor
 	liveMirror         *mirror.Mirror
@@ -150,6 +153,7 @@
 func (h *Host) SetUp() {
 	incarnation := uuid.NewString()
 	h.drain = make(chan struct{})
+	h.stopTime = &stopTime{reached: make(chan struct{})}
 	h.inventory = &inventory.Inventory{DrainBound: h.Settings.DrainBound}
 	h.peers = &peer.Pool{Options: peer.LocalDialOptions()}
 	h.store = h.DirectStore
@@ -176,7 +180,7 @@
 	h.crashDetector = &crashdetect.Detector{Links: h.reach, Logger: h.Logger, OnEnded: h.recordCrash, Prober: h.Plain, Servers: h.inventory}
 	h.Forwarder = &forward.Forwarder{
 		Client: h.Plain, Quarantine: h.poisonRegistry, Dialect: h.Dialect, CrashDetector: h.crashDetector, Inventory: h.inventory, Logger: h.Logger,
-		Self: h.Settings.ID, Zone: h.Settings.Zone,
+		Self: h.Settings.ID, Stop: h.stopTime, Zone: h.Settings.Zone,
 	}
 	h.softwareHistory = &software.History{
 		Inventory: h.inventory, IsResponsible: h.isResponsible, Logger: h.Logger, Services: h.resumableServices, Store: h.store,
@@ -462,6 +466,7 @@
 // requests in flight and removes the host's entry from the store.
 func (h *Host) leave(ctx context.Context, listeners *listeners, stopDuties context.CancelFunc) {
 	start := time.Now()
+	defer h.stopTime.set(start.Add(h.Settings.grace() - shutdownMargin - answerMargin))()
 	h.leaving.Store(true)
 	h.roster.Leave()
 	stopDuties()
--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -122,6 +122,10 @@
 	var hedge <-chan time.Time
 	var failed answer
 	isolationChanged := x.Client.Reach.Changed()
+	var stopped <-chan struct{}
+	if x.Stop != nil {
+		stopped = x.Stop.Reached()
+	}
 	x.startAttempt(ctx)
 	if delay, ok := x.attempts.hedgeDelay(); ok {
 		timer := time.NewTimer(delay)
@@ -133,6 +137,9 @@
 		case <-ctx.Done():
 			failed.close()
 			return answer{}, x.contextError(ctx)
+		case <-stopped:
+			failed.close()
+			return answer{}, x.stopError()
 		case <-hedge:
 			hedge = nil
 			x.suspectLinks()
@@ -189,6 +196,14 @@
 	return kind.New(kind.DeadlineExceeded, "the deadline passed while the request was at a backend server")
 }
 
+// stopError returns the error of a request that has no answer when this host stops.
+func (x *exchange) stopError() error {
+	if x.attempts.mayHaveRun+x.attempts.pending == 0 {
+		return kind.New(kind.Leaving, "the host stops")
+	}
+	return kind.New(kind.OutcomeUnknown, "the host stops while the request is at a backend server")
+}
+
 // startAttempt starts another attempt if one is allowed: at a server that has not been tried,
 // or over another host if this one reaches none.
 func (x *exchange) startAttempt(ctx context.Context) {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -71,6 +71,14 @@
 	Refuses(content uint64) bool
 }
 
+// Stop tells when a host that leaves stops serving requests.
+type Stop interface {
+	// At returns when that is. It returns false while the host isn't leaving.
+	At() (time.Time, bool)
+	// Reached is closed at that time. Requests without an answer must be answered then.
+	Reached() <-chan struct{}
+}
+
 // Forwarder forwards requests to backend servers. Its fields must be set before the first
 // call and not change afterwards.
 type Forwarder struct {
@@ -89,6 +97,8 @@
 	Relay Relay
 	// Self is the id of this host.
 	Self string
+	// Stop tells when this host stops; nil means never.
+	Stop Stop
 	// Zone is the availability zone of this host.
 	Zone string
 
@@ -129,6 +139,10 @@
 		budget = min(budget, route.Timeout)
 	}
 	deadline := request.Arrived.Add(budget)
+	if err := f.checkStop(request, deadline, request.Budget > 0 || route.Timeout > 0); err != nil {
+		f.metrics.count(ctx, string(kind.Of(err).Kind), time.Since(request.Arrived))
+		return err
+	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	if request.MaxAttempts > 0 {
@@ -173,6 +187,21 @@
 	panic(http.ErrAbortHandler)
 }
 
+// checkStop returns an error if this host may stop before the request has its answer. stated
+// is false if neither the caller nor the route sets a time budget.
+func (f *Forwarder) checkStop(request Request, deadline time.Time, stated bool) error {
+	if f.Stop == nil || !stated {
+		return nil
+	}
+	at, leaving := f.Stop.At()
+	if !leaving || deadline.Before(at) {
+		return nil
+	}
+	f.Logger.Info("request not taken: the host stops before its deadline", slog.String("request-id", request.ID),
+		slog.Duration("left", time.Until(deadline)), slog.Duration("stops-in", time.Until(at)))
+	return kind.New(kind.Leaving, "the host stops before the deadline of the request").WithRetryAfter(minRetryAfter)
+}
+
 // Chooser returns the Chooser that this host uses for single requests.
 func (f *Forwarder) Chooser() Chooser { return Chooser{Self: f.Self, Zone: f.Zone} }
 
