--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -122,10 +122,7 @@
 	var hedge <-chan time.Time
 	var failed answer
 	isolationChanged := x.Client.Reach.Changed()
-	var stopped <-chan struct{}
-	if x.Stop != nil {
-		stopped = x.Stop.Reached()
-	}
+	stopped := x.stopped()
 	x.startAttempt(ctx)
 	if delay, ok := x.attempts.hedgeDelay(); ok {
 		timer := time.NewTimer(delay)
@@ -156,12 +153,7 @@
 				return a, nil
 			}
 			x.logFailedAttempt(ctx, a)
-			if a.response != nil && a.ran != kind.RanNo {
-				failed.close()
-				failed = a
-			} else {
-				a.close()
-			}
+			failed = latestFailure(failed, a)
 			x.startAttempt(ctx)
 		}
 	}
@@ -175,6 +167,24 @@
 	return answer{}, x.attempts.failure()
 }
 
+// latestFailure returns the later of two failures that a caller may get, and closes the other.
+func latestFailure(before, a answer) answer {
+	if a.response == nil || a.ran == kind.RanNo {
+		a.close()
+		return before
+	}
+	before.close()
+	return a
+}
+
+// stopped returns a channel that is closed when this host stops serving requests.
+func (x *exchange) stopped() <-chan struct{} {
+	if x.Stop == nil {
+		return nil
+	}
+	return x.Stop.Reached()
+}
+
 // isFinal reports whether the caller gets this answer. After a server error (status 500
 // or above) the request is retried at another server if the route allows it.
 func (x *exchange) isFinal(a answer) bool {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -264,26 +264,24 @@
 		f.Inventory.BackOff(candidate.ID, minRetryAfter)
 		return a
 	}
-	a = readHead(a)
-	if a.response != nil && !isEventStream(response) {
+	a.head, a.hasMore, err = readHead(response)
+	if err != nil {
+		_ = response.Body.Close()
+		return answer{server: candidate.Server, err: err, ran: kind.RanUnknown}
+	}
+	if !isEventStream(response) {
 		f.Inventory.RecordAnswer(candidate.ID, ParseLoad(response.Header.Get(f.Dialect.Load)))
 	}
 	return a
 }
 
 // readHead reads up to bufferBytes of the body of an answer, or nothing of an event stream.
-func readHead(a answer) answer {
-	if isEventStream(a.response) {
-		a.hasMore = true
-		return a
+func readHead(response *http.Response) (head []byte, hasMore bool, err error) {
+	if isEventStream(response) {
+		return nil, true, nil
 	}
-	head, err := io.ReadAll(io.LimitReader(a.response.Body, bufferBytes))
-	if err != nil {
-		_ = a.response.Body.Close()
-		return answer{server: a.server, err: err, ran: kind.RanUnknown}
-	}
-	a.head, a.hasMore = head, len(head) == bufferBytes
-	return a
+	head, err = io.ReadAll(io.LimitReader(response.Body, bufferBytes))
+	return head, len(head) == bufferBytes, err
 }
 
 // ParseLoad returns the total number of running and waiting requests from a server's load
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -56,8 +56,12 @@
 	if err != nil {
 		return answer{err: err, ran: kind.Of(err).Ran, relayed: true}
 	}
-	a := readHead(answer{relayed: true, response: response, ran: kind.RanYes})
-	a.relayed = true
+	a := answer{relayed: true, response: response, ran: kind.RanYes}
+	a.head, a.hasMore, err = readHead(response)
+	if err != nil {
+		_ = response.Body.Close()
+		return answer{err: err, ran: kind.RanUnknown, relayed: true}
+	}
 	return a
 }
 
--- a/internal/request/forwardlink/server.go
+++ b/internal/request/forwardlink/server.go
@@ -172,7 +172,7 @@
 		return
 	}
 	w.wroteHead = true
-	head := &forwardlinkpb.Head{Headers: encodeHeader(w.header), Status: int32(statusCode)} //nolint:gosec // A status has three digits.
+	head := &forwardlinkpb.Head{Headers: encodeHeader(w.header), Status: int32(statusCode)}
 	w.err = w.stream.Send(&forwardlinkpb.AnswerPart{Part: &forwardlinkpb.AnswerPart_Head{Head: head}})
 }
 
