Give up repeatable requests on lost links at once, and use links that return

By reading: after the links returned, a host without peers in reach refused callers for another quarter of a second.

Cause: no further attempt is allowed then, and nothing ended the wait. Change: once the host knows that it is isolated, such a request gets 502, and its caller can repeat it at another host. TestRequestOnLostLinksIsGivenUpAtOnce took 2 s before, its deadline. Requests that must not run twice keep waiting for their answer. While the latest probe has succeeded, requests that no other host takes are sent to servers again.

--- a/internal/backend/reach/reach.go
+++ b/internal/backend/reach/reach.go
@@ -53,7 +53,9 @@
 	mu       sync.Mutex
 	changed  chan struct{}
 	isolated bool
-	since    time.Time
+	// returning is set while the host is isolated and the latest probe has succeeded.
+	returning bool
+	since     time.Time
 }
 
 // suspicion is an observation that may mean that the links to the servers are lost.
@@ -106,6 +108,17 @@
 	return m.isolated
 }
 
+// Returning reports whether this host counts as isolated although a server was reached by the
+// latest probe.
+func (m *Monitor) Returning() bool {
+	if m == nil {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.returning
+}
+
 // Changed returns a channel that is closed when the verdict next changes. It is nil for a nil
 // Monitor.
 func (m *Monitor) Changed() <-chan struct{} {
@@ -221,7 +234,10 @@
 		slog.Duration("last-heard", m.age(&m.heardAt)), slog.Duration("last-connected", m.age(&m.connectedAt)))
 	m.set(true)
 	for succeeded := 0; succeeded < returnProbes && wait.For(ctx, retryInterval); {
-		if result := m.probe(ctx, m.Targets(), ""); result.reached && result.probed > 0 {
+		result := m.probe(ctx, m.Targets(), "")
+		reached := result.reached && result.probed > 0
+		m.setReturning(reached)
+		if reached {
 			succeeded++
 			continue
 		}
@@ -248,11 +264,17 @@
 	return time.Since(m.began) - time.Duration(at.Load())
 }
 
+func (m *Monitor) setReturning(returning bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.returning = returning
+}
+
 // set changes the verdict and returns how long the one before lasted.
 func (m *Monitor) set(isolated bool) (lasted time.Duration) {
 	m.mu.Lock()
 	lasted = time.Since(m.since)
-	m.isolated, m.since = isolated, time.Now()
+	m.isolated, m.returning, m.since = isolated, false, time.Now()
 	if m.changed != nil {
 		close(m.changed)
 		m.changed = nil
--- a/internal/backend/reach/reach_test.go
+++ b/internal/backend/reach/reach_test.go
@@ -101,9 +101,13 @@
 				is.True(m.Isolated())
 				time.Sleep(20 * time.Second)
 				is.True(m.Isolated())
+				is.True(!m.Returning())
 				n.set(nil, addresses...)
-				time.Sleep(time.Second)
+				time.Sleep(400 * time.Millisecond)
+				is.True(m.Isolated() == m.Returning()) // one probe has succeeded, or two
+				time.Sleep(600 * time.Millisecond)
 				is.True(!m.Isolated())
+				is.True(!m.Returning())
 			})
 		})
 	}
--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -143,8 +143,13 @@
 			x.startAttempt(ctx)
 		case <-isolationChanged:
 			isolationChanged = x.Client.Reach.Changed()
-			if x.isIsolated() {
-				x.startAttempt(ctx)
+			if !x.isIsolated() {
+				continue
+			}
+			x.startAttempt(ctx)
+			if x.attempts.isStranded() {
+				failed.close()
+				return answer{}, x.attempts.failure()
 			}
 		case a := <-x.answers:
 			x.recordEnd(ctx, a)
--- a/internal/request/forward/policy.go
+++ b/internal/request/forward/policy.go
@@ -86,6 +86,12 @@
 	return a.mayHaveRun+a.pending < a.maxAttempts()
 }
 
+// isStranded reports whether a request that may be repeated waits only for servers that this
+// host no longer reaches. Its caller can repeat it at another host at once.
+func (a *attempts) isStranded() bool {
+	return a.route.Repeat == config.RepeatIdempotent && a.relaying == 0 && a.mayHaveRun+a.pending >= a.maxAttempts()
+}
+
 // recordRelayStart records that the request is handed on, and returns the number of servers
 // that may run it there.
 func (a *attempts) recordRelayStart() int {
@@ -232,8 +238,8 @@
 // failure returns the error when no server answered and no further attempt is possible.
 func (a *attempts) failure() error {
 	retryAfter := max(minRetryAfter, a.nextPermit) + rand.N(retryAfterSpread)
-	if a.mayHaveRun > 0 {
-		return kind.New(kind.OutcomeUnknown, "no answer from any backend server: the request may have run at %d of %d tried", a.mayHaveRun, len(a.tried))
+	if mayHaveRun := a.mayHaveRun + a.pending; mayHaveRun > 0 {
+		return kind.New(kind.OutcomeUnknown, "no answer from any backend server: the request may have run at %d of %d tried", mayHaveRun, len(a.tried))
 	}
 	return kind.New(kind.Unavailable, "no backend server of the service accepts the request now (refusals: %d)", a.notRun).WithRetryAfter(retryAfter)
 }
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -77,8 +77,12 @@
 }
 
 // withOpenConnection returns the candidates to which the request can be sent although no
-// connection can be opened. A request that must not run twice needs a new connection.
+// connection can be opened. A request that must not run twice needs a new connection. Once a
+// server is reached again, these are all candidates.
 func (x *exchange) withOpenConnection(candidates []inventory.Candidate) []inventory.Candidate {
+	if x.Client.Reach.Returning() {
+		return candidates
+	}
 	if x.attempts.route.Repeat != config.RepeatIdempotent {
 		return nil
 	}
--- a/internal/request/forward/relay_test.go
+++ b/internal/request/forward/relay_test.go
@@ -140,6 +140,23 @@
 	}
 }
 
+// TestRequestOnLostLinksIsGivenUpAtOnce cuts the links while the only server that may run the
+// request has it. A caller that may repeat it need not wait for its deadline.
+func TestRequestOnLostLinksIsGivenUpAtOnce(t *testing.T) {
+	is := is.New(t)
+	var f *relayingForwarder
+	f = newRelayingForwarder(t, newServer(t, func(w http.ResponseWriter, r *http.Request) {
+		f.isolate(t)
+		hang(w, r)
+	}))
+	began := time.Now()
+	_, err := f.serve(t, config.RepeatIdempotent, forward.Request{MaxAttempts: 1})
+	is.Equal(kind.Of(err).Kind, kind.OutcomeUnknown)
+	is.Equal(kind.Of(err).Ran, kind.RanUnknown)
+	is.Equal(len(f.relay.attempts), 0)
+	is.True(time.Since(began) < 1500*time.Millisecond) // its deadline is after 2 s
+}
+
 func TestRequestIsNotHandedOnTwice(t *testing.T) {
 	is := is.New(t)
 	f := newRelayingForwarder(t, newServer(t, answerComplete))
