Let connections that are being opened end before a request is given up

Such an attempt ends as not run within milliseconds and may go over another host, so 50 ms pass before the request is given up.

--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -119,7 +119,7 @@
 
 // run makes attempts until a server answers, no further attempt is allowed or ctx ends.
 func (x *exchange) run(ctx context.Context) (answer, error) {
-	var hedge <-chan time.Time
+	var giveUp, hedge <-chan time.Time
 	var failed answer
 	isolationChanged := x.Client.Reach.Changed()
 	stopped := x.stopped()
@@ -143,10 +143,8 @@
 			x.startAttempt(ctx)
 		case <-isolationChanged:
 			isolationChanged = x.Client.Reach.Changed()
-			if !x.isIsolated() {
-				continue
-			}
-			x.startAttempt(ctx)
+			giveUp = x.relayIfIsolated(ctx)
+		case <-giveUp:
 			if x.attempts.isStranded() {
 				failed.close()
 				return answer{}, x.attempts.failure()
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -22,12 +22,26 @@
 // maxRelays bounds how often one request is handed on.
 const maxRelays = 2
 
+// abortDelay is the time in which connections that are being opened end once the host is
+// isolated. Their attempts have not run and may go over another host.
+const abortDelay = 50 * time.Millisecond
+
 // mayRelay reports whether the request may be handed on to another host. A request that was
 // handed on to this host isn't handed on again.
 func (x *exchange) mayRelay() bool {
 	return x.Relay != nil && !x.request.Relayed && x.attempts.mayRelay() && x.mayContinue()
 }
 
+// relayIfIsolated starts another attempt if this host has become isolated. It returns a channel
+// that receives once the attempts that can still end by themselves have ended, or nil.
+func (x *exchange) relayIfIsolated(ctx context.Context) <-chan time.Time {
+	if !x.isIsolated() {
+		return nil
+	}
+	x.startAttempt(ctx)
+	return time.After(abortDelay)
+}
+
 // startRelay hands the request on to another host, which counts as all attempts that are
 // left.
 func (x *exchange) startRelay(ctx context.Context) {
