Release batches only to a host that confirms that it reaches servers

Cause: the flag in the entries of hosts says what a host has found out, which may take a second, and was taken for what it reaches. Change: the owner asks the successor, which tries a connection to a server right away; a no makes it look into its own links too.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -122,8 +122,9 @@
 	drain          chan struct{}
 	drainOnce      sync.Once
 	crashDetector  *crashdetect.Detector
-	// forwardServer serves requests that other hosts hand on. It and links are nil without a
-	// peer address.
+	// forwardClient hands requests on to other hosts, and forwardServer serves theirs. They and
+	// links are nil without a peer address.
+	forwardClient      *forwardlink.Client
 	forwardServer      *forwardlink.Server
 	links              *peer.Links
 	gate               *permit.Gate
--- a/internal/entry/host/isolation.go
+++ b/internal/entry/host/isolation.go
@@ -45,9 +45,10 @@
 // setUpForwarding lets this host hand requests on to other hosts and take theirs.
 func (h *Host) setUpForwarding() {
 	h.links = &peer.Links{Options: peer.LocalDialOptions()}
-	h.Forwarder.Relay = &forwardlink.Client{
+	h.forwardClient = &forwardlink.Client{
 		ConfigVersion: h.configVersion, Hosts: h.connectedPeers, Links: h.links, Logger: h.Logger,
 	}
+	h.Forwarder.Relay = h.forwardClient
 	h.forwardServer = &forwardlink.Server{Host: h, Logger: h.Logger}
 }
 
@@ -80,6 +81,18 @@
 	return nil
 }
 
+// ReachesServers implements forwardlink.Host.
+func (h *Host) ReachesServers(ctx context.Context) bool {
+	if h.reach.Isolated() {
+		return false
+	}
+	reaches := h.reach.ReachesAny(ctx, "")
+	if !reaches {
+		h.reach.Suspect("", reach.ReasonConnect)
+	}
+	return reaches
+}
+
 // ServeForwarded implements forwardlink.Host.
 func (h *Host) ServeForwarded(ctx context.Context, w http.ResponseWriter, request forward.Request) error {
 	c, err := h.ConfigInForce()
@@ -97,15 +110,15 @@
 	return h.Forwarder.Serve(ctx, w, request, route)
 }
 
-// releaseWhileIsolated releases the batches of this host while it reaches no backend server
-// and another host does.
+// releaseWhileIsolated releases the batches of this host while it reaches no backend server, each
+// if the host that takes it over confirms that it does.
 func (h *Host) releaseWhileIsolated(ctx context.Context) error {
 	for ctx.Err() == nil {
 		changed := h.reach.Changed()
 		var again <-chan time.Time
 		if h.reach.Isolated() {
-			if h.runner.Running() > 0 && len(h.connectedPeers()) > 0 {
-				h.runner.Release(ctx)
+			if h.forwardClient != nil && len(h.connectedPeers()) > 0 {
+				h.Batches.ReleaseTo(ctx, h.forwardClient.ReachesServers)
 			}
 			again = time.After(releaseInterval)
 		}
--- a/internal/request/forwardlink/client.go
+++ b/internal/request/forwardlink/client.go
@@ -65,6 +65,22 @@
 	return nil, kind.New(kind.Unavailable, "no other host accepts the request: %v", errors.Join(refusals...)).WithRan(kind.RanNo)
 }
 
+// ReachesServers reports whether another host confirms that it reaches backend servers.
+func (c *Client) ReachesServers(ctx context.Context, host roster.Host) bool {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	link, err := c.Links.Acquire(host.PeerAddress)
+	if err != nil {
+		c.Logger.LogAttrs(ctx, slog.LevelInfo, "no link to another host", slog.String("host", host.ID), slog.Any("error", err))
+		return false
+	}
+	reply, err := forwardlinkpb.NewForwardLinkClient(link.Conn).CheckReach(ctx, &forwardlinkpb.CheckReachRequest{})
+	c.Links.Release(link, err != nil)
+	c.Logger.LogAttrs(ctx, slog.LevelInfo, "asked whether another host reaches backend servers", slog.String("host", host.ID),
+		slog.Bool("reaches", reply.GetReachesServers()), slog.Any("error", err))
+	return reply.GetReachesServers()
+}
+
 // choose returns the hosts to offer a request to, in random order, so that no host gets the
 // requests of all isolated hosts. Those that did not accept a request lately come last.
 func (c *Client) choose() []roster.Host {
--- a/internal/request/forwardlink/forwardlink.go
+++ b/internal/request/forwardlink/forwardlink.go
@@ -22,6 +22,9 @@
 const (
 	// offerTimeout bounds the time until another host accepts a request.
 	offerTimeout = 150 * time.Millisecond
+	// checkTimeout bounds the question whether another host reaches backend servers. That host
+	// may try several.
+	checkTimeout = 500 * time.Millisecond
 	// maxOffers bounds the hosts that one request is offered to.
 	maxOffers = 3
 	// refusalMemory is how long a host that did not accept a request is tried last.
--- a/internal/request/forwardlink/forwardlink_test.go
+++ b/internal/request/forwardlink/forwardlink_test.go
@@ -51,6 +51,8 @@
 	return h.serve(ctx, w, request)
 }
 
+func (h *fakeHost) ReachesServers(context.Context) bool { return h.refuse == nil }
+
 func (h *fakeHost) counts() (offers, served int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -321,6 +323,18 @@
 	is.Equal(served, 0)
 }
 
+func TestHostConfirmsThatItReachesServers(t *testing.T) {
+	is := is.New(t)
+	connected, _, _ := start(t, "h1", &fakeHost{})
+	isolated, _, _ := start(t, "h2", &fakeHost{refuse: errors.New("isolated too")})
+	gone, _, stop := start(t, "h3", &fakeHost{})
+	stop()
+	client := newClient(t)
+	is.True(client.ReachesServers(t.Context(), connected))
+	is.True(!client.ReachesServers(t.Context(), isolated))
+	is.True(!client.ReachesServers(t.Context(), gone))
+}
+
 func TestFailureKeepsItsKind(t *testing.T) {
 	is := is.New(t)
 	failure := kind.New(kind.Quarantined, "refused for now").WithRetryAfter(1234 * time.Millisecond)
--- a/internal/request/forwardlink/server.go
+++ b/internal/request/forwardlink/server.go
@@ -23,6 +23,8 @@
 	// AcceptForwarded returns an error if this host takes no requests of a host that has the
 	// configuration version.
 	AcceptForwarded(configVersion int64) error
+	// ReachesServers reports whether this host reaches backend servers now.
+	ReachesServers(ctx context.Context) bool
 	// ServeForwarded has the meaning of forward.Forwarder.Serve.
 	ServeForwarded(ctx context.Context, w http.ResponseWriter, request forward.Request) error
 }
@@ -79,6 +81,11 @@
 	}
 }
 
+// CheckReach implements forwardlinkpb.ForwardLinkServer.
+func (s *Server) CheckReach(ctx context.Context, _ *forwardlinkpb.CheckReachRequest) (*forwardlinkpb.CheckReachReply, error) {
+	return &forwardlinkpb.CheckReachReply{ReachesServers: s.Host.ReachesServers(ctx)}, nil
+}
+
 // Forward implements forwardlinkpb.ForwardLinkServer.
 func (s *Server) Forward(stream forwardlinkpb.ForwardLink_ForwardServer) error {
 	// The request counts before its offer is accepted, so that a host that begins to leave
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -328,17 +328,24 @@
 	r.mu.Lock()
 	r.draining, r.finishing = true, true
 	r.mu.Unlock()
-	r.Release(ctx)
+	r.release(ctx, func(batch.Head) bool { return true })
 }
 
-// Release stops the items of all batches that run now and releases the batches, so that other
-// hosts take them over with the partial texts received so far.
-func (r *Runner) Release(ctx context.Context) {
+// release stops the items of the batches that selected returns true for, and releases these
+// batches, so that other hosts take them over with the partial texts received so far.
+func (r *Runner) release(ctx context.Context, selected func(batch.Head) bool) {
 	r.mu.Lock()
 	runs := slices.Collect(maps.Values(r.runs))
+	heads := make([]batch.Head, len(runs))
+	for i, br := range runs {
+		heads[i] = br.head
+	}
 	r.mu.Unlock()
 	group, ctx := errgroup.WithContext(ctx)
-	for _, br := range runs {
+	for i, br := range runs {
+		if !selected(heads[i]) {
+			continue
+		}
 		group.Go(func() error {
 			br.handOver(ctx)
 			return nil
--- a/internal/rollout/batchrun/service.go
+++ b/internal/rollout/batchrun/service.go
@@ -349,6 +349,24 @@
 	s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch offer ended", slog.String("batch", head.ID), slog.String("to", successor.ID), slog.Any("error", err))
 }
 
+// ReleaseTo releases the batches of this host whose successor passes the check. Each successor
+// is checked once.
+func (s *Service) ReleaseTo(ctx context.Context, check func(context.Context, roster.Host) bool) {
+	checked := make(map[string]bool)
+	s.Runner.release(ctx, func(head batch.Head) bool {
+		successor, ok := s.Roster.Get(s.successorOf(head))
+		if !ok || successor.ID == s.Runner.Self.Host || successor.PeerAddress == "" {
+			return false
+		}
+		passes, known := checked[successor.ID]
+		if !known {
+			passes = check(ctx, successor)
+			checked[successor.ID] = passes
+		}
+		return passes
+	})
+}
+
 // HandleOffer implements batchlink.Owner: it takes over a batch that another host has
 // released, unless this host is leaving or another host has claimed the batch already.
 func (s *Service) HandleOffer(ctx context.Context, head batch.Head) {
