--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// maxMessageBytes fits a page of the store, a page of results, or a batch.
-	maxMessageBytes = 32 << 20
+	// maxMessageBytes fits a page of the store, a page of results, a batch, or a caller's
+	// request of the longest body that hosts read.
+	maxMessageBytes = 40 << 20
 	// dialTimeout limits how long connecting to another host may take.
 	dialTimeout = 300 * time.Millisecond
 	// tcpKeepaliveInterval and tcpKeepaliveProbes let the kernel detect a dead
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -84,9 +84,8 @@
 
 // suspectLinks records that no server has answered the request in the usual time.
 func (x *exchange) suspectLinks() {
-	for id := range x.unanswered {
-		x.Client.Reach.Suspect(x.unanswered[id].Server.Address, reach.ReasonSilent)
-		return
+	for _, incident := range x.unanswered {
+		x.Client.Reach.Suspect(incident.Server.Address, reach.ReasonSilent)
 	}
 }
 
--- a/internal/request/forwardlink/client.go
+++ b/internal/request/forwardlink/client.go
@@ -175,8 +175,8 @@
 // call when it is closed.
 func (c *call) send(request forward.Request, deadline time.Time, maxAttempts int) (*http.Response, error) {
 	part := &forwardlinkpb.ForwardPart{Part: &forwardlinkpb.ForwardPart_Request{Request: &forwardlinkpb.Request{
-		Body: request.Body, BudgetMicros: max(time.Until(deadline).Microseconds(), 1), Headers: encodeHeader(request.Header), Host: request.Host,
-		MaxAttempts: int32(min(maxAttempts, maxAttemptsOnWire)), Method: request.Method, Target: request.Target,
+		Body: request.Body, BudgetMicros: max(time.Until(deadline).Microseconds(), 1), Headers: encodeHeader(request.Header), Host: []byte(request.Host),
+		MaxAttempts: int32(min(maxAttempts, maxAttemptsOnWire)), Method: request.Method, Target: []byte(request.Target),
 	}}}
 	// If Send fails, Recv returns the reason.
 	_ = c.stream.Send(part)
--- a/internal/request/forwardlink/forwardlink.go
+++ b/internal/request/forwardlink/forwardlink.go
@@ -9,7 +9,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -37,9 +36,14 @@
 func encodeHeader(header http.Header) []*forwardlinkpb.Header {
 	encoded := make([]*forwardlinkpb.Header, 0, len(header))
 	for name, values := range header {
-		if len(values) > 0 {
-			encoded = append(encoded, &forwardlinkpb.Header{Name: name, Values: slices.Clone(values)})
+		if len(values) == 0 {
+			continue
 		}
+		h := &forwardlinkpb.Header{Name: name}
+		for _, value := range values {
+			h.Values = append(h.Values, []byte(value))
+		}
+		encoded = append(encoded, h)
 	}
 	return encoded
 }
@@ -47,7 +51,9 @@
 func decodeHeader(encoded []*forwardlinkpb.Header) http.Header {
 	header := make(http.Header, len(encoded))
 	for _, h := range encoded {
-		header[h.GetName()] = h.GetValues()
+		for _, value := range h.GetValues() {
+			header[h.GetName()] = append(header[h.GetName()], string(value))
+		}
 	}
 	return header
 }
--- a/internal/request/forwardlink/forwardlink_test.go
+++ b/internal/request/forwardlink/forwardlink_test.go
@@ -102,7 +102,7 @@
 
 func newRequest() forward.Request {
 	return forward.Request{
-		Body: []byte("body"), Header: http.Header{"X-A": {"1", "2"}}, Host: "h", ID: "r1", Method: http.MethodPost, Target: "/n/x?y=%2F",
+		Body: []byte("body"), Header: http.Header{"X-A": {"1", "2\xe9"}}, Host: "h", ID: "r1", Method: http.MethodPost, Target: "/n/x?y=%2F\xff",
 	}
 }
 
@@ -120,7 +120,7 @@
 	var got forward.Request
 	entry, _, _ := start(t, "h1", &fakeHost{serve: func(_ context.Context, w http.ResponseWriter, r forward.Request) error {
 		got = r
-		w.Header()["X-B"] = []string{"3", "4"}
+		w.Header()["X-B"] = []string{"3", "4\xe9"}
 		w.WriteHeader(http.StatusTeapot)
 		_, err := io.WriteString(w, "answer")
 		return err
@@ -131,7 +131,7 @@
 	is.NoErr(err)
 	is.Equal(string(body), "answer")
 	is.Equal(response.StatusCode, http.StatusTeapot)
-	is.Equal(response.Header.Values("X-B"), []string{"3", "4"})
+	is.Equal(response.Header.Values("X-B"), []string{"3", "4\xe9"})
 	want := newRequest()
 	want.Arrived, want.Budget, want.Relayed, want.MaxAttempts = got.Arrived, got.Budget, true, 2
 	is.Equal(got, want)
@@ -314,7 +314,7 @@
 	is.NoErr(err)
 	is.True(verdict.GetVerdict().GetAccepted())
 	time.Sleep(1200 * time.Millisecond)
-	request := &forwardlinkpb.Request{BudgetMicros: time.Minute.Microseconds(), Host: "h", MaxAttempts: 2, Method: http.MethodPost, Target: "/n/x"}
+	request := &forwardlinkpb.Request{BudgetMicros: time.Minute.Microseconds(), Host: []byte("h"), MaxAttempts: 2, Method: http.MethodPost, Target: []byte("/n/x")}
 	is.NoErr(stream.Send(&forwardlinkpb.ForwardPart{Part: &forwardlinkpb.ForwardPart_Request{Request: request}}))
 	answer, err := stream.Recv()
 	is.NoErr(err)
--- a/internal/request/forwardlink/server.go
+++ b/internal/request/forwardlink/server.go
@@ -100,6 +100,8 @@
 		return status.Error(codes.InvalidArgument, "the call does not begin with an offer")
 	}
 	if err := s.Host.AcceptForwarded(offer.GetConfigVersion()); err != nil {
+		s.Logger.LogAttrs(stream.Context(), slog.LevelInfo, "request of another host not accepted",
+			slog.String("request-id", offer.GetRequestId()), slog.Any("error", err))
 		return sendVerdict(stream, &forwardlinkpb.Verdict{Reason: err.Error()})
 	}
 	accepted, acceptedAt := elapsed.Now(nil), time.Now()
@@ -120,8 +122,8 @@
 	} else {
 		err = s.serve(stream.Context(), w, forward.Request{
 			Arrived: acceptedAt, Body: request.GetBody(), Budget: time.Duration(request.GetBudgetMicros()) * time.Microsecond,
-			Header: decodeHeader(request.GetHeaders()), Host: request.GetHost(), ID: offer.GetRequestId(),
-			Method: request.GetMethod(), Relayed: true, MaxAttempts: int(request.GetMaxAttempts()), Target: request.GetTarget(),
+			Header: decodeHeader(request.GetHeaders()), Host: string(request.GetHost()), ID: offer.GetRequestId(),
+			Method: request.GetMethod(), Relayed: true, MaxAttempts: int(request.GetMaxAttempts()), Target: string(request.GetTarget()),
 		})
 	}
 	switch {
