--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -31,8 +31,10 @@
 	key       uint64
 	length    int
 	nextToken int
-	request   backend.CompletionRequest
-	run       *Run
+	// processCtx spans the lifetime of the simulated process that runs the request.
+	processCtx context.Context //nolint:containedctx // It outlives the request's context.
+	request    backend.CompletionRequest
+	run        *Run
 }
 
 func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
@@ -52,7 +54,7 @@
 	e.register(g)
 	release, err := e.admit(ctx)
 	if err != nil {
-		e.recordEnd(ctx, g, false)
+		e.recordEnd(g, false)
 		panic(http.ErrAbortHandler)
 	}
 	defer release()
@@ -77,6 +79,7 @@
 func (e *Engine) register(g *generation) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	g.processCtx = e.processCtx
 	e.generations[g.request.RequestID] = g
 }
 
@@ -123,7 +126,7 @@
 		chunk.CachedTokens, cached = cached, 0
 		writer.write(chunk)
 	}
-	e.recordEnd(ctx, g, err == nil)
+	e.recordEnd(g, err == nil)
 	if err != nil || writer.discard {
 		panic(http.ErrAbortHandler)
 	}
@@ -188,8 +191,10 @@
 	return chunk
 }
 
-func (e *Engine) recordEnd(ctx context.Context, g *generation, finished bool) {
-	crashed := errors.Is(context.Cause(ctx), errCrashed)
+// recordEnd records how a run ended. After a crash, the connection of the request may have been
+// closed before its context learned of the crash.
+func (e *Engine) recordEnd(g *generation, finished bool) {
+	crashed := errors.Is(context.Cause(g.processCtx), errCrashed)
 	e.recorder.update(func() {
 		g.run.Finished = finished
 		g.run.Crashed = !finished && crashed
