Bind relayed requests by what servers have announced to either host

Cause: what a server says in an answer is kept by the host that sent the request. An answer that came over another host was passed on unread, and the other host got requests without knowing what the first one knew.

Change: an answer carries the id of its server over the link, and the first host takes notice of its headers; the servers that have announced to it that they leave go with the request; and a request that a limited server could take later isn't handed on by a host that isn't isolated. TestServerThatLeavesIsHeardOverAnotherHost, TestRelayedRequestAvoidsServersThatLeave and TestRequestOfLimitedServerIsNotHandedOn play the three.

--- a/internal/backend/inventory/inventory.go
+++ b/internal/backend/inventory/inventory.go
@@ -244,6 +244,19 @@
 	return true
 }
 
+// Leaving returns the listed servers of a service that have announced that they are leaving.
+func (v *Inventory) Leaving(service string) []Server {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var leaving []Server
+	for _, id := range v.byService[service] {
+		if _, ok := v.notices[id]; ok {
+			leaving = append(leaving, v.servers[id])
+		}
+	}
+	return leaving
+}
+
 // pruneNotices makes room for one notice. It deletes expired notices and, if there are
 // still too many, the oldest one. While there is room, it runs at most once per
 // leaveNoticeRetention. v.mu is held.
--- a/internal/backend/plain/client.go
+++ b/internal/backend/plain/client.go
@@ -168,7 +168,7 @@
 		_ = response.Body.Close()
 		return nil, kind.New(kind.OutcomeUnknown, "server answered request %q with the id of another request", request.RequestID)
 	}
-	c.observe(address, request.Server, response, admitted)
+	c.Observe(address, request.Server, response, admitted)
 	removeHopByHop(response.Header)
 	return response, nil
 }
@@ -180,9 +180,9 @@
 	return c.Gate.Admit(ctx, request.Server, request.Purpose)
 }
 
-// observe handles what the header of an answer says of its server. admitted is when the
-// request was admitted.
-func (c *Client) observe(address, server string, response *http.Response, admitted time.Time) {
+// Observe handles what the header of an answer says of its server. admitted is when the
+// request was admitted. Do calls it for each answer.
+func (c *Client) Observe(address, server string, response *http.Response, admitted time.Time) {
 	// A misdirected request was answered by another server.
 	if c.Gate != nil && server != "" && response.StatusCode != http.StatusMisdirectedRequest {
 		c.Gate.Observe(server, response.Header, admitted)
--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -234,9 +234,7 @@
 	}
 	candidate, ok := x.attempts.chooseServer(candidates)
 	if !ok || !x.attempts.mayStart() || !x.mayContinue() {
-		// Only some links may be lost. If the servers are at fault, one other host is enough to
-		// find that out.
-		if x.attempts.unreached && x.attempts.pending == 0 && x.attempts.relays == 0 && x.mayRelay() {
+		if x.mayRelayUnreached() {
 			x.startRelay(ctx)
 		}
 		return
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -48,6 +48,9 @@
 	Header http.Header
 	Host   string
 	ID     string
+	// Leaving maps the servers that have announced to the host that handed the request on that
+	// they leave to their start times in Unix milliseconds.
+	Leaving map[string]int64
 	// MaxAttempts, if not zero, bounds the servers that may run the request, in addition to
 	// the route.
 	MaxAttempts int
@@ -145,6 +148,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	for id, started := range request.Leaving {
+		f.Inventory.MarkLeaving(id, started)
+	}
 	if request.MaxAttempts > 0 {
 		route.MaxAttempts = min(max(route.MaxAttempts, 1), request.MaxAttempts)
 	}
@@ -175,6 +181,9 @@
 	defer final.close()
 	f.metrics.count(ctx, "answered", time.Since(request.Arrived))
 	x.recordOrigin(final)
+	if recorder, ok := w.(ServerRecorder); ok {
+		recorder.RecordServer(final.server.ID)
+	}
 	switch err := writeAnswer(w, final); {
 	case err == nil:
 		x.reportAnswered()
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -14,9 +14,16 @@
 
 // Relay hands requests on to other hosts.
 type Relay interface {
-	// Forward lets another host serve the request, at up to maxAttempts servers, and returns
-	// its answer. The error has a kind. It says RanNo if no other host took the request.
-	Forward(ctx context.Context, request Request, deadline time.Time, maxAttempts int) (*http.Response, error)
+	// Forward lets another host serve the request, at up to maxAttempts servers. It returns the
+	// answer and the id of the server that it comes from. The error has a kind. It says RanNo
+	// if no other host took the request.
+	Forward(ctx context.Context, request Request, deadline time.Time, maxAttempts int) (response *http.Response, server string, err error)
+}
+
+// ServerRecorder is a response writer that records which server an answer comes from.
+type ServerRecorder interface {
+	// RecordServer is called before the head of the answer is written.
+	RecordServer(id string)
 }
 
 // maxRelays bounds how often one request is handed on.
@@ -32,6 +39,14 @@
 	return x.Relay != nil && !x.request.Relayed && x.attempts.mayRelay() && x.mayContinue()
 }
 
+// mayRelayUnreached reports whether the request may be handed on although this host isn't known
+// to be isolated: only some of its links may be lost. If the servers are at fault, one other
+// host is enough to find that out. A server with a request limit is reached.
+func (x *exchange) mayRelayUnreached() bool {
+	a := &x.attempts
+	return a.unreached && a.pending == 0 && a.relays == 0 && a.nextPermit == 0 && x.mayRelay()
+}
+
 // relayIfIsolated starts another attempt if this host has become isolated. It returns a channel
 // that receives once the attempts that can still end by themselves have ended, or nil.
 func (x *exchange) relayIfIsolated(ctx context.Context) <-chan time.Time {
@@ -66,10 +81,20 @@
 
 // relay hands the request on and reads up to bufferBytes of the answer's body.
 func (x *exchange) relay(ctx context.Context, maxAttempts int) answer {
-	response, err := x.Relay.Forward(ctx, x.request, x.deadline, maxAttempts)
+	started := time.Now()
+	request := x.request
+	request.Leaving = make(map[string]int64)
+	for _, server := range x.Inventory.Leaving(x.service) {
+		request.Leaving[server.ID] = server.Started
+	}
+	response, id, err := x.Relay.Forward(ctx, request, x.deadline, maxAttempts)
 	if err != nil {
 		return answer{err: err, ran: kind.Of(err).Ran, relayed: true}
 	}
+	// This host passes on what the server says of itself, and is bound by it.
+	if server, known := x.Inventory.Get(id); known {
+		x.Client.Observe(server.Address, id, response, started)
+	}
 	a := answer{relayed: true, response: response, ran: kind.RanYes}
 	a.head, a.hasMore, err = readHead(response)
 	if err != nil {
--- a/internal/request/forward/relay_test.go
+++ b/internal/request/forward/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -28,14 +29,17 @@
 type fakeRelay struct {
 	attempts []int
 	err      error
+	header   http.Header
 }
 
-func (r *fakeRelay) Forward(_ context.Context, _ forward.Request, _ time.Time, maxAttempts int) (*http.Response, error) {
+func (r *fakeRelay) Forward(_ context.Context, _ forward.Request, _ time.Time, maxAttempts int) (*http.Response, string, error) {
 	r.attempts = append(r.attempts, maxAttempts)
 	if r.err != nil {
-		return nil, r.err
+		return nil, "", r.err
 	}
-	return &http.Response{Body: io.NopCloser(strings.NewReader("relayed")), Header: http.Header{}, StatusCode: http.StatusOK}, nil
+	header := http.Header{}
+	maps.Copy(header, r.header)
+	return &http.Response{Body: io.NopCloser(strings.NewReader("relayed")), Header: header, StatusCode: http.StatusOK}, "a", nil
 }
 
 // relayingForwarder is a Forwarder with one server, whose links can be cut.
@@ -116,6 +120,55 @@
 	}
 }
 
+// TestRelayedRequestAvoidsServersThatLeave has a request come over a host to which its only server
+// has announced that it leaves. There is no other server, so it gets work for the drain bound.
+func TestRelayedRequestAvoidsServersThatLeave(t *testing.T) {
+	is := is.New(t)
+	f := newRelayingForwarder(t, newServer(t, answerComplete))
+	f.Inventory.DrainBound = time.Nanosecond
+	_, err := f.serve(t, config.RepeatIdempotent, forward.Request{Leaving: map[string]int64{"a": 0}, Relayed: true})
+	is.Equal(kind.Of(err).Ran, kind.RanNo)
+	is.Equal(f.Inventory.Leaving("s")[0].ID, "a")
+}
+
+// TestRequestOfLimitedServerIsNotHandedOn has one server without a free permit and another one that
+// refuses connections. The other host may not know of the limit.
+func TestRequestOfLimitedServerIsNotHandedOn(t *testing.T) {
+	is := is.New(t)
+	f := newRelayingForwarder(t, newServer(t, answerComplete))
+	f.Client.Gate = limitedGate{}
+	f.Inventory.Set(inventory.Server{Address: "127.0.0.1:1", ID: "b", Service: "s", Slots: 8})
+	_, err := f.serve(t, config.RepeatNever, forward.Request{})
+	is.Equal(kind.Of(err).Kind, kind.Unavailable)
+	is.Equal(len(f.relay.attempts), 0)
+}
+
+// limitedGate has no permit for server a.
+type limitedGate struct{}
+
+func (limitedGate) Admit(_ context.Context, server string, _ plain.Purpose) (plain.Permit, error) {
+	if server == "a" {
+		return plain.Permit{}, plain.NewNotAdmitted(time.Second, "no permit")
+	}
+	return plain.Permit{}, nil
+}
+
+func (limitedGate) Observe(string, http.Header, time.Time) {}
+
+// TestServerThatLeavesIsHeardOverAnotherHost has a server say in a relayed answer that it leaves.
+func TestServerThatLeavesIsHeardOverAnotherHost(t *testing.T) {
+	is := is.New(t)
+	f := newRelayingForwarder(t, newServer(t, answerComplete))
+	var left []string
+	f.Client.IsLeaving = func(header http.Header) bool { return header.Get("Leaving") != "" }
+	f.Client.OnLeaving = func(server string) { left = append(left, server) }
+	f.relay.header = http.Header{"Leaving": {"1"}}
+	f.isolate(t)
+	_, err := f.serve(t, config.RepeatIdempotent, forward.Request{})
+	is.NoErr(err)
+	is.Equal(left, []string{"a"})
+}
+
 // TestRequestThatMayHaveRunIsNotHandedOn cuts the links while a server has the request. One
 // that may be repeated is handed on for the attempts that are left.
 func TestRequestThatMayHaveRunIsNotHandedOn(t *testing.T) {
--- a/internal/request/forwardlink/client.go
+++ b/internal/request/forwardlink/client.go
@@ -41,7 +41,7 @@
 // Forward implements forward.Relay.
 func (c *Client) Forward(
 	ctx context.Context, request forward.Request, deadline time.Time, maxAttempts int,
-) (*http.Response, error) {
+) (response *http.Response, server string, err error) {
 	var refusals []error
 	for _, host := range c.choose() {
 		call, err := c.offer(ctx, host, request.ID)
@@ -54,15 +54,15 @@
 			}
 			continue
 		}
-		response, err := call.send(request, deadline, maxAttempts)
+		response, server, err := call.send(request, deadline, maxAttempts)
 		if err != nil {
 			call.end()
 		}
 		c.Logger.LogAttrs(ctx, slog.LevelInfo, "request handed on", slog.String("request-id", request.ID), slog.String("host", host.ID),
 			slog.Int("attempts", maxAttempts), slog.Duration("left", time.Until(deadline)), slog.Any("error", err))
-		return response, err
+		return response, server, err
 	}
-	return nil, kind.New(kind.Unavailable, "no other host accepts the request: %v", errors.Join(refusals...)).WithRan(kind.RanNo)
+	return nil, "", kind.New(kind.Unavailable, "no other host accepts the request: %v", errors.Join(refusals...)).WithRan(kind.RanNo)
 }
 
 // ReachesServers reports whether another host confirms that it reaches backend servers.
@@ -171,28 +171,32 @@
 	return stream, reply.GetVerdict(), err
 }
 
-// send sends the request and returns the head of the answer. The body of the answer ends the
-// call when it is closed.
-func (c *call) send(request forward.Request, deadline time.Time, maxAttempts int) (*http.Response, error) {
+// send sends the request and returns the head of the answer and the server that it comes from.
+// The body of the answer ends the call when it is closed.
+func (c *call) send(request forward.Request, deadline time.Time, maxAttempts int) (response *http.Response, server string, err error) {
 	part := &forwardlinkpb.ForwardPart{Part: &forwardlinkpb.ForwardPart_Request{Request: &forwardlinkpb.Request{
 		Body: request.Body, BudgetMicros: max(time.Until(deadline).Microseconds(), 1), Headers: encodeHeader(request.Header), Host: []byte(request.Host),
 		MaxAttempts: int32(min(maxAttempts, maxAttemptsOnWire)), Method: request.Method, Target: []byte(request.Target),
 	}}}
+	for id, started := range request.Leaving {
+		leaving := &forwardlinkpb.LeavingServer{Id: id, StartedMillis: started}
+		part.GetRequest().Leaving = append(part.GetRequest().Leaving, leaving)
+	}
 	// If Send fails, Recv returns the reason.
 	_ = c.stream.Send(part)
 	_ = c.stream.CloseSend()
 	reply, err := c.stream.Recv()
 	if err != nil {
-		return nil, c.linkError(err)
+		return nil, "", c.linkError(err)
 	}
 	if failure := reply.GetFailure(); failure != nil {
-		return nil, decodeFailure(failure)
+		return nil, "", decodeFailure(failure)
 	}
 	head := reply.GetHead()
 	if head == nil {
-		return nil, c.linkError(classError.New("the answer has no head"))
+		return nil, "", c.linkError(classError.New("the answer has no head"))
 	}
-	response := &http.Response{
+	response = &http.Response{
 		Body: &answerBody{call: c}, ContentLength: -1, Header: decodeHeader(head.GetHeaders()), StatusCode: int(head.GetStatus()),
 		// The end of the answer is marked on the link, however its server framed it.
 		TransferEncoding: []string{"chunked"},
@@ -200,7 +204,7 @@
 	if length, err := strconv.ParseInt(response.Header.Get("Content-Length"), 10, 64); err == nil {
 		response.ContentLength, response.TransferEncoding = length, nil
 	}
-	return response, nil
+	return response, head.GetServer(), nil
 }
 
 // maxAttemptsOnWire bounds the number of attempts in a message.
--- a/internal/request/forwardlink/forwardlink_test.go
+++ b/internal/request/forwardlink/forwardlink_test.go
@@ -102,13 +102,13 @@
 
 func newRequest() forward.Request {
 	return forward.Request{
-		Body: []byte("body"), Header: http.Header{"X-A": {"1", "2\xe9"}}, Host: "h", ID: "r1", Method: http.MethodPost, Target: "/n/x?y=%2F\xff",
+		Body: []byte("body"), Header: http.Header{"X-A": {"1", "2\xe9"}}, Host: "h", ID: "r1", Leaving: map[string]int64{"s2": 7}, Method: http.MethodPost, Target: "/n/x?y=%2F\xff",
 	}
 }
 
 func forwardTo(t *testing.T, c *forwardlink.Client) (*http.Response, error) {
 	t.Helper()
-	response, err := c.Forward(t.Context(), newRequest(), time.Now().Add(testTimeout), 2)
+	response, _, err := c.Forward(t.Context(), newRequest(), time.Now().Add(testTimeout), 2)
 	if err == nil {
 		t.Cleanup(func() { _ = response.Body.Close() })
 	}
@@ -120,13 +120,18 @@
 	var got forward.Request
 	entry, _, _ := start(t, "h1", &fakeHost{serve: func(_ context.Context, w http.ResponseWriter, r forward.Request) error {
 		got = r
+		if recorder, ok := w.(forward.ServerRecorder); ok {
+			recorder.RecordServer("s1")
+		}
 		w.Header()["X-B"] = []string{"3", "4\xe9"}
 		w.WriteHeader(http.StatusTeapot)
 		_, err := io.WriteString(w, "answer")
 		return err
 	}})
-	response, err := forwardTo(t, newClient(t, entry))
+	response, server, err := newClient(t, entry).Forward(t.Context(), newRequest(), time.Now().Add(testTimeout), 2)
 	is.NoErr(err)
+	defer func() { is.NoErr(response.Body.Close()) }()
+	is.Equal(server, "s1")
 	body, err := io.ReadAll(response.Body)
 	is.NoErr(err)
 	is.Equal(string(body), "answer")
@@ -198,7 +203,7 @@
 		cancel()
 		return nil
 	})
-	_, err := newClient(t, entry).Forward(ctx, newRequest(), time.Now().Add(testTimeout), 2)
+	_, _, err := newClient(t, entry).Forward(ctx, newRequest(), time.Now().Add(testTimeout), 2)
 	is.Equal(kind.Of(err).Kind, kind.Cancelled)
 	is.NoErr(group.Wait())
 	select {
--- a/internal/request/forwardlink/server.go
+++ b/internal/request/forwardlink/server.go
@@ -123,7 +123,7 @@
 		err = s.serve(stream.Context(), w, forward.Request{
 			Arrived: acceptedAt, Body: request.GetBody(), Budget: time.Duration(request.GetBudgetMicros()) * time.Microsecond,
 			Header: decodeHeader(request.GetHeaders()), Host: string(request.GetHost()), ID: offer.GetRequestId(),
-			Method: request.GetMethod(), Relayed: true, MaxAttempts: int(request.GetMaxAttempts()), Target: string(request.GetTarget()),
+			Leaving: decodeLeaving(request.GetLeaving()), Method: request.GetMethod(), Relayed: true, MaxAttempts: int(request.GetMaxAttempts()), Target: string(request.GetTarget()),
 		})
 	}
 	switch {
@@ -155,6 +155,14 @@
 	return stream.Send(&forwardlinkpb.AnswerPart{Part: &forwardlinkpb.AnswerPart_Verdict{Verdict: verdict}})
 }
 
+func decodeLeaving(encoded []*forwardlinkpb.LeavingServer) map[string]int64 {
+	leaving := make(map[string]int64, len(encoded))
+	for _, server := range encoded {
+		leaving[server.GetId()] = server.GetStartedMillis()
+	}
+	return leaving
+}
+
 func encodeFailure(err error) *forwardlinkpb.Failure {
 	e := kind.Of(err)
 	return &forwardlinkpb.Failure{
@@ -166,11 +174,18 @@
 type answerWriter struct {
 	err       error
 	header    http.Header
+	server    string
 	stream    forwardlinkpb.ForwardLink_ForwardServer
 	wroteHead bool
 }
 
-var _ http.ResponseWriter = (*answerWriter)(nil)
+var (
+	_ http.ResponseWriter    = (*answerWriter)(nil)
+	_ forward.ServerRecorder = (*answerWriter)(nil)
+)
+
+// RecordServer implements forward.ServerRecorder.
+func (w *answerWriter) RecordServer(id string) { w.server = id }
 
 // Header implements http.ResponseWriter.
 func (w *answerWriter) Header() http.Header { return w.header }
@@ -181,7 +196,7 @@
 		return
 	}
 	w.wroteHead = true
-	head := &forwardlinkpb.Head{Headers: encodeHeader(w.header), Status: int32(statusCode)}
+	head := &forwardlinkpb.Head{Headers: encodeHeader(w.header), Server: w.server, Status: int32(statusCode)}
 	w.err = w.stream.Send(&forwardlinkpb.AnswerPart{Part: &forwardlinkpb.AnswerPart_Head{Head: head}})
 }
 
