Count no HTTP/2 prefaces as requests in the engine of the batch tests

A gRPC client whose server had the engine's port before connects there, and net/http hands its preface to the handler: TestEngineCountsNoConnectionsOfOtherProtocols got exactly such a request before. Which client it was isn't known. The check is as strict as before for every HTTP/1 request, with an id or without.

--- a/internal/rollout/batchrun/batchrun_test.go
+++ b/internal/rollout/batchrun/batchrun_test.go
@@ -58,6 +58,11 @@
 }
 
 func (e *engineServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoMajor != 1 {
+		// The preface of an HTTP/2 connection: a client of a host that had this port before.
+		w.WriteHeader(http.StatusHTTPVersionNotSupported)
+		return
+	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	item := r.Header.Get("X-Request-Id")
 	e.mu.Lock()
