--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -25,8 +25,11 @@
 	mu       sync.Mutex
 	born     int64
 	busy     bool
+	http     *http.Server
 	orders   int64
 	running  int
+	name     string
+	starts   int
 	seq      int
 	state    string
 	version  int64
@@ -48,11 +51,12 @@
 
 // start listens on a free loopback port and registers the server until the process ends.
 func (s *server) start() {
-	s.born, s.state, s.version = time.Now().UnixMilli(), "ready", 1
+	s.name, s.born, s.state, s.version = s.id, time.Now().UnixMilli(), "ready", 1
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
 	s.address = listener.Addr().String()
-	go func() { _ = (&http.Server{Handler: s}).Serve(listener) }()
+	s.http = &http.Server{Handler: s}
+	go func() { _ = s.http.Serve(listener) }()
 	s.register()
 	go func() {
 		for range time.Tick(heartbeat) {
@@ -63,6 +67,10 @@
 
 func (s *server) register() {
 	s.mu.Lock()
+	if s.state == "down" {
+		s.mu.Unlock()
+		return
+	}
 	s.seq++
 	entry := map[string]any{
 		"service": s.service, "address": s.address, "zone": "zone-a", "version": "v1", "slots": s.slots, "state": s.state,
@@ -71,8 +79,9 @@
 	if s.model != "" {
 		entry["stage"], entry["models"] = "both", s.models()
 	}
+	key := "servers/" + s.id
 	s.mu.Unlock()
-	s.store.put("servers/"+s.id, entry)
+	s.store.put(key, entry)
 }
 
 func (s *server) models() []map[string]any {
@@ -87,11 +96,12 @@
 	}
 	id := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
-	w.Header().Set("X-Instance-Id", s.id)
 	s.mu.Lock()
+	self := s.id
+	w.Header().Set("X-Instance-Id", self)
 	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,%d", s.running, s.slots))
 	s.mu.Unlock()
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != s.id {
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != self {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -111,7 +121,7 @@
 	}
 	s.mu.Lock()
 	full := s.running >= s.slots || s.busy
-	s.arrivals = append(s.arrivals, arrival{at: time.Now(), id: id, server: s.id, ran: !full})
+	s.arrivals = append(s.arrivals, arrival{at: time.Now(), id: id, server: self, ran: !full})
 	if !full {
 		s.running++
 	}
@@ -126,8 +136,8 @@
 		s.running--
 		s.mu.Unlock()
 	}()
-	s.record.printf("server %s runs request %s, Last-Event-Id %q", s.id, id, r.Header.Get("Last-Event-Id"))
-	w.Header().Set("X-Server-Stamp", s.id+"."+id)
+	s.record.printf("server %s runs request %s, Last-Event-Id %q", self, id, r.Header.Get("Last-Event-Id"))
+	w.Header().Set("X-Server-Stamp", self+"."+id)
 	if s.model == "" {
 		time.Sleep(s.workTime)
 		_, _ = io.WriteString(w, plainBody(id, r.RequestURI, string(body)))
