--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of the cases start.
 set -eu
 cd "$(dirname "$0")/standin"
-GOWORK=off GOFLAGS=-mod=mod go build -o ../../target/review-standin .
+GOWORK=off GOFLAGS=-buildvcs=false go build -o ../../target/review-standin .
--- a/review/standin/case_older_config.go
+++ b/review/standin/case_older_config.go
@@ -22,7 +22,7 @@
 		f.servers = append(f.servers, &server{id: fmt.Sprintf("engine-%d", n), service: engines, model: modelName, slots: 16, eventTime: 8 * time.Millisecond})
 	}
 	f.start(6)
-	owner := f.findOwner()
+	owner := f.findOwner("first")
 	f.record.printf("%s runs the batches", owner.name)
 	if f.trouble {
 		f.record.printf("the store turns %s away", owner.name)
--- a/review/standin/case_silent_reader.go
+++ b/review/standin/case_silent_reader.go
@@ -14,8 +14,8 @@
 	// configApply is the bound configApplyMs, and turnedAway how long the store leaves a host
 	// without answers.
 	configApply = 2 * time.Second
-	turnedAway  = 6 * time.Second
-	rounds      = 4
+	turnedAway  = 5 * time.Second
+	rounds      = 7
 )
 
 // silentReader adds a route to plain requests, several times, each time just after the store
@@ -90,7 +90,7 @@
 		}
 		away.toStore.setSilent(false)
 		f.record.printf("the store serves %s again", away.name)
-		time.Sleep(6 * time.Second)
+		time.Sleep(4 * time.Second)
 	}
 	f.record.printf("%d of %d requests on routes that were confirmed over %s before got 404", refused, sent, configApply)
 	if sent == 0 {
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -70,8 +70,10 @@
 	batchPrefix = "/batches/"
 	plainPrefix = "/look-ups/"
 	modelName   = "drafter"
-	engines     = "generators"
-	plains      = "records"
+	// itemBytes is the size of an item's body, as on the sheet of the site.
+	itemBytes = 600
+	engines   = "generators"
+	plains    = "records"
 )
 
 // start starts the store, the servers and the hosts, and waits until all hosts are ready.
@@ -232,7 +234,7 @@
 			items = append(items, map[string]any{
 				"id": item, "path": prefix + "1/" + item, "group": group, "tokens": 300 + 10*events,
 				"headers": map[string]string{"X-Model": modelName, "X-Token-Count": fmt.Sprintf("300,%d", 10*events), "X-Prompt-Prefix": "9c2e41:300"},
-				"body":    base64.StdEncoding.EncodeToString(fmt.Append(nil, events)),
+				"body":    base64.StdEncoding.EncodeToString(fmt.Appendf(nil, "%-*d", itemBytes, events)),
 			})
 		}
 	}
@@ -362,17 +364,17 @@
 	return nil
 }
 
-// findOwner lets a first batch run and returns the host that ran it, which also runs the later
+// findOwner lets a small batch run and returns the host that ran it, which also runs the later
 // batches of the model.
-func (f *fleet) findOwner() *node {
-	first := newBatch(batchPrefix, "first", 2, 2, 5, 2)
+func (f *fleet) findOwner(id string) *node {
+	first := newBatch(batchPrefix, id, 2, 2, 5, 2)
 	var results []result
 	if f.submit(f.nodes[0], first, 3*time.Second) != http.StatusAccepted || !f.readAll(f.nodes[0], first, &results, 10*time.Second) {
-		check(errors.New("the first batch did not complete"))
+		check(errors.New("the small batch did not complete"))
 	}
 	owner := f.owner(first.id)
 	if owner == nil {
-		check(errors.New("nobody ran the first batch"))
+		check(errors.New("nobody ran the small batch"))
 	}
 	f.end(f.nodes[0], first.id)
 	return owner
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -167,9 +167,9 @@
 	return strings.Join(lines, "\n")
 }
 
-// stream sends the events of an item. The body of the item is the number of its events.
+// stream sends the events of an item. The body of the item is the number of its events and blanks.
 func (s *server) stream(w http.ResponseWriter, r *http.Request, id, body string) {
-	events, _ := strconv.Atoi(body)
+	events, _ := strconv.Atoi(strings.TrimSpace(body))
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Weight-Versions", strconv.FormatInt(s.version, 10))
