--- a/review/standin/case_frozen_accept.go
+++ b/review/standin/case_frozen_accept.go
@@ -28,7 +28,7 @@
 	for n := range 4 {
 		f.servers = append(f.servers, &server{id: fmt.Sprintf("engine-%d", n), service: engines, model: modelName, slots: 16, eventTime: 8 * time.Millisecond})
 	}
-	f.start(3)
+	f.start(10)
 	for round := range freezes {
 		if broken := f.freezeAccepting(round); broken != "" {
 			return broken
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,8 +15,8 @@
 func main() { os.Exit(run()) }
 
 func run() (code int) {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER TROUBLE, where a TROUBLE of 0 leaves the disruption out")
 		return 2
 	}
 	file, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
@@ -29,7 +29,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	f := &fleet{dir: dir, record: &record{file: file, start: time.Now()}, store: newStore(), trouble: os.Getenv("TROUBLE") != "0"}
+	f := &fleet{dir: dir, record: &record{file: file, start: time.Now()}, store: newStore(), trouble: os.Args[3] != "0"}
 	defer func() {
 		f.stop()
 		if os.Getenv("KEEP") == "" {
