Ignore handovers of batches that have changed since

A host stood still for 5 s right after it had accepted a batch. Then all hosts answered reads of that batch with no results, although the trainer had read 256: 31 of 32 reads here, for good.

Cause: the accepting host's Adopt call arrived late, with the first head, at the owner, which had taken the batch up from the store, run and closed it. Runner.Adopt took the head for the current one, dropped the batch from the cache of closed batches and started a run without results. The service then saw the newer, closed head and stopped the run, whose empty list was cached as the final results.

Change: the runner ignores a handover whose head is older than the newest that the host knows, under the lock that guards its runs; a batch that stops leaves its last head in the index.

Why this works: every change of a batch's ownership or state raises the revision of its head, and the owner that ran the batch wrote that change itself.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -210,7 +210,7 @@
 	if h.Settings.PeerAddress != "" {
 		h.Batches.Link = &batchlink.Client{Pool: h.peers}
 	}
-	h.runner.OnHead = h.Batches.Index.Put
+	h.runner.Index = h.Batches.Index
 	h.runner.OnReleased = h.Batches.Offer
 	h.loadController = &loading.Controller{
 		Config: h.config.Load, Engines: h.Engines, Inventory: h.inventory, Logger: h.Logger,
--- a/internal/rollout/batchlink/batchlink.go
+++ b/internal/rollout/batchlink/batchlink.go
@@ -36,7 +36,7 @@
 // Owner runs batches and serves the calls of other hosts.
 type Owner interface {
 	// Adopt runs a batch that is stored with this host as its owner. It returns
-	// false if the host accepts no batches.
+	// false if the host accepts no batches or knows that this one has changed since.
 	Adopt(ctx context.Context, head batch.Head, b batch.Batch) bool
 	// HandleOffer handles the offer of a batch that another host has released.
 	HandleOffer(ctx context.Context, head batch.Head)
--- a/internal/rollout/batchrun/append.go
+++ b/internal/rollout/batchrun/append.go
@@ -128,7 +128,7 @@
 // to be retried.
 func (br *batchRun) onConflict(sent, current batch.Head) bool {
 	r := br.runner
-	r.OnHead(current)
+	r.Index.Put(current)
 	if current.Owner != r.Self || !current.IsOpen() {
 		r.HandleHead(current)
 		return false
--- a/internal/rollout/batchrun/batchrun_test.go
+++ b/internal/rollout/batchrun/batchrun_test.go
@@ -138,10 +138,11 @@
 		Self:       batch.Owner{Host: id, Incarnation: "1"},
 	}
 	index := &batch.Index{Logger: logger, OnHead: runner.HandleHead}
-	runner.OnHead = index.Put
+	runner.Index = index
 	r := &roster.Roster{Logger: logger, Self: roster.Host{Address: id, ID: id, Incarnation: "1"}, Store: store}
 	service := &batchrun.Service{Batches: batches, Index: index, Logger: logger, Roster: r, Runner: runner}
 	configure(service)
+	runner.Index = service.Index
 	ctx, cancel := context.WithCancel(context.Background())
 	group, groupCtx := errgroup.WithContext(ctx)
 	runner.Start(group)
@@ -405,7 +406,7 @@
 		Generation: &generation.Client{Dialect: testDialect, Logger: logger, Plain: &plain.Client{}},
 	}
 	index := &batch.Index{Logger: logger, OnHead: runner.HandleHead}
-	runner.OnHead = index.Put
+	runner.Index = index
 	service := &batchrun.Service{
 		Batches: batches, Index: index, Logger: logger, Runner: runner,
 		Roster: &roster.Roster{Logger: logger, Self: roster.Host{ID: "a", Incarnation: "1"}, Store: store},
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -49,10 +49,11 @@
 	// Config returns the configuration in force; nil if there is none yet.
 	Config     func() *config.Config
 	Generation *generation.Client
-	Inventory  *inventory.Inventory
-	Logger     *slog.Logger
-	// OnHead is called with the head in the store when a write conflicts with it.
-	OnHead func(batch.Head)
+	// Index holds the newest known heads. A batch whose known head is newer than that of
+	// a handover isn't started.
+	Index     *batch.Index
+	Inventory *inventory.Inventory
+	Logger    *slog.Logger
 	// OnReleased is called with the head of a batch that this host has released; it may
 	// be nil.
 	OnReleased func(context.Context, batch.Head)
@@ -153,9 +154,10 @@
 	}
 }
 
-// Adopt starts to run a batch that this host owns, unless it runs already or the host
-// accepts no new batches. stored are the results in the store, and partials are the
-// partial texts that an earlier owner saved.
+// Adopt starts to run a batch that this host owns, unless it runs already, the host
+// accepts no new batches, or a newer head is known: whoever changed the head since may
+// have run or closed the batch. stored are the results in the store, and partials are
+// the partial texts that an earlier owner saved.
 func (r *Runner) Adopt(
 	ctx context.Context, head batch.Head, b batch.Batch, stored []batch.Result, partials []batch.Partial,
 ) {
@@ -164,6 +166,12 @@
 	if _, running := r.runs[head.ID]; running || r.finishing {
 		return
 	}
+	if newest, ok := r.Index.Get(head.ID); ok && newest.Revision > head.Revision {
+		r.Logger.LogAttrs(ctx, slog.LevelInfo, "outdated handover of batch ignored", slog.String("batch", head.ID),
+			slog.Int64("revision", head.Revision), slog.Int64("newest", newest.Revision),
+			slog.String("owner", newest.Owner.Host), slog.Bool("open", newest.IsOpen()))
+		return
+	}
 	br := newRun(r, head, b, stored, partials)
 	br.ctx, br.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	r.runs[head.ID] = br
@@ -200,7 +208,8 @@
 	r.stop(br, head)
 }
 
-// stop cancels the streams and reward calls of a batch and removes it from the runner.
+// stop cancels the streams and reward calls of a batch and removes it from the runner. The
+// index keeps head, so that a late handover doesn't start the batch again.
 func (r *Runner) stop(br *batchRun, head batch.Head) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -208,6 +217,7 @@
 		return
 	}
 	delete(r.runs, head.ID)
+	r.Index.Put(head)
 	r.cacheClosed(br, head)
 	br.cancel()
 	br.cancelRewards()
--- a/internal/rollout/batchrun/service.go
+++ b/internal/rollout/batchrun/service.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/nutmegway/nutmegway/internal/base/elapsed"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/base/rendezvous"
 	"github.com/nutmegway/nutmegway/internal/fleet/roster"
@@ -91,59 +92,55 @@
 		s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch not accepted", slog.String("batch", b.ID), slog.Any("error", err))
 		return err
 	}
+	accepted := elapsed.Now(s.Batches.Now)
 	s.Index.Put(head)
 	s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch accepted", slog.String("batch", b.ID), slog.Bool("created", created),
 		slog.String("owner", head.Owner.Host), slog.Int64("revision", head.Revision))
 	switch {
-	case !created:
+	case !created || !head.IsOpen():
 	case head.Owner == s.Runner.Self:
-		s.adopt(ctx, head, b, nil, nil)
+		s.Runner.Adopt(ctx, head, b, nil, nil)
 	default:
-		s.handOverTo(context.WithoutCancel(ctx), owner, head, b)
+		s.handOverTo(context.WithoutCancel(ctx), owner, head, b, accepted)
 	}
 	return nil
 }
 
 // handOverTo hands a new batch over to its owner in the background, and claims it for
 // this host if the owner doesn't run it. The caller's submission is confirmed without
-// waiting for this.
-func (s *Service) handOverTo(ctx context.Context, owner roster.Host, head batch.Head, b batch.Batch) {
+// waiting for this. If the host has stood still since the batch was accepted, the owner or
+// its successor has taken the batch up from the store.
+func (s *Service) handOverTo(ctx context.Context, owner roster.Host, head batch.Head, b batch.Batch, accepted elapsed.Mark) {
 	s.Runner.Go("handover of batch "+head.ID, func() error {
+		if age := accepted.Since(s.Batches.Now); age > selfOwnedDelay {
+			s.Logger.LogAttrs(ctx, slog.LevelInfo, "late handover of batch omitted", slog.String("batch", head.ID),
+				slog.String("owner", owner.ID), slog.Duration("age", age))
+			return nil
+		}
 		running, err := s.Link.Adopt(ctx, owner.PeerAddress, head, b)
 		if running {
 			return nil
 		}
 		s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch not handed over", slog.String("batch", head.ID),
 			slog.String("owner", owner.ID), slog.Any("error", err))
-		claimed, err := s.Batches.Claim(ctx, head, s.Runner.Self)
-		if err != nil {
-			// The sweep of some host finds the batch later.
-			s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch not claimed after failed handover", slog.String("batch", head.ID), slog.Any("error", err))
-			return nil
-		}
-		s.Index.Put(claimed)
-		s.adopt(ctx, claimed, b, nil, nil)
+		// The owner may have stored results before the reply was lost.
+		s.takeOver(ctx, head)
 		return nil
 	})
 }
 
 // Adopt implements batchlink.Owner: it runs a batch that another host accepted and stored
-// with this host as its owner. It returns false if this host is leaving. The other host
-// may know an earlier incarnation of this one, for example after a restart of the whole
-// fleet; then this host claims the batch first, and returns false if it can't.
+// with this host as its owner. It returns false if this host is leaving, or if it knows that
+// the batch has changed since. The other host may know an earlier incarnation of this one,
+// for example after a restart of the whole fleet; then this host takes the batch over first,
+// and returns false if it can't.
 func (s *Service) Adopt(ctx context.Context, head batch.Head, b batch.Batch) bool {
 	s.Index.Put(head)
 	if head.Owner != s.Runner.Self && head.Owner.Host == s.Runner.Self.Host {
-		claimed, err := s.Batches.Claim(context.WithoutCancel(ctx), head, s.Runner.Self)
-		if err != nil {
-			s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch of an earlier incarnation not claimed",
-				slog.String("batch", head.ID), slog.String("incarnation", head.Owner.Incarnation), slog.Any("error", err))
-			return false
-		}
-		s.Index.Put(claimed)
-		head = claimed
+		s.takeOver(context.WithoutCancel(ctx), head)
+	} else {
+		s.Runner.Adopt(ctx, head, b, nil, nil)
 	}
-	s.adopt(ctx, head, b, nil, nil)
 	return s.Runner.Runs(head.ID)
 }
 
@@ -473,7 +470,7 @@
 		s.Logger.LogAttrs(ctx, slog.LevelWarn, "results not loaded", slog.String("batch", head.ID), slog.Any("error", err))
 		return
 	}
-	s.adopt(ctx, claimed, b, stored, s.loadPartials(ctx, head))
+	s.Runner.Adopt(ctx, claimed, b, stored, s.loadPartials(ctx, head))
 }
 
 // loadPartials reads the partial texts that the previous owner saved. An
@@ -496,14 +493,3 @@
 	}
 	return partials
 }
-
-// adopt runs a batch, unless the batch was closed or claimed by another host while this
-// host loaded it.
-func (s *Service) adopt(
-	ctx context.Context, head batch.Head, b batch.Batch, stored []batch.Result, partials []batch.Partial,
-) {
-	s.Runner.Adopt(ctx, head, b, stored, partials)
-	if newest, ok := s.Index.Get(head.ID); ok && newest.Revision > head.Revision {
-		s.Runner.HandleHead(newest)
-	}
-}
--- a/internal/rollout/batchrun/service_test.go
+++ b/internal/rollout/batchrun/service_test.go
@@ -19,6 +19,16 @@
 	"github.com/nutmegway/nutmegway/internal/standin/kvmemory"
 )
 
+// hostEntry returns the transaction that lists host.
+func hostEntry(t *testing.T, host roster.Host) kv.Txn {
+	t.Helper()
+	entry, err := json.Marshal(host)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return kv.Txn{Writes: []kv.Write{{Key: roster.Prefix + host.ID, Value: entry}}}
+}
+
 // TestBatchOfAnEarlierIncarnationIsClaimed guards against cancelled runs after a restart of
 // the whole fleet. The accepting host still had the roster entry of the owner's earlier
 // incarnation and stored the batch with it. The owner ran the batch, then saw a head with
@@ -57,9 +67,7 @@
 	is.NoErr(err)
 	addressOfB := listener.Addr().String()
 	is.NoErr(listener.Close())
-	entry, err := json.Marshal(roster.Host{Address: "b", ID: "b", Incarnation: "1", PeerAddress: addressOfB})
-	is.NoErr(err)
-	_, err = store.Commit(t.Context(), kv.Txn{Writes: []kv.Write{{Key: roster.Prefix + "b", Value: entry}}})
+	_, err = store.Commit(t.Context(), hostEntry(t, roster.Host{Address: "b", ID: "b", Incarnation: "1", PeerAddress: addressOfB}))
 	is.NoErr(err)
 	a := newHostWith(t, "a", store, func(s *batchrun.Service) {
 		s.Link = &batchlink.Client{Pool: &peer.Pool{Options: peer.LocalDialOptions()}}
@@ -104,8 +112,6 @@
 		return true
 	}
 	b := newHostWith(t, "b", store, func(s *batchrun.Service) { s.Index = &batch.Index{Logger: s.Logger} }, engine)
-	entry, err := json.Marshal(roster.Host{Address: "b", ID: "b", Incarnation: "1", PeerAddress: "b"})
-	is.NoErr(err)
 	a := newHostWith(t, "a", store, func(s *batchrun.Service) {
 		s.Link = offerLink{target: b.service}
 		s.Runner.OnReleased = s.Offer
@@ -114,7 +120,7 @@
 	is.NoErr(err)
 	is.True(a.service.Adopt(t.Context(), head, sampleBatch(1)))
 	<-started
-	_, err = store.Commit(t.Context(), kv.Txn{Writes: []kv.Write{{Key: roster.Prefix + "b", Value: entry}}})
+	_, err = store.Commit(t.Context(), hostEntry(t, roster.Host{Address: "b", ID: "b", Incarnation: "1", PeerAddress: "b"}))
 	is.NoErr(err)
 	for {
 		if host, ok := a.service.Roster.Get("b"); ok && host.PeerAddress != "" {
