Give items up only under a configuration that the store has confirmed

The store left one host without answers for 6 s while the operator added a route. A batch on that route, accepted with 202 by another host, was listed as dead, all 64 items, within a second; no server had received one.

Cause: the host that runs the batches of the model looked the route up in its own, older configuration, found none and finished all items as dead. Neither the handover nor the stored batch said which configuration the batch had been accepted under.

Change: the stored batch carries that version. A host with an older one lets the items wait and reads the configuration from the store, over another host if need be. The same read precedes each decision to give items up by their route: no route, or its item limit passed. Configurations are put in force by compare-and-swap, since two goroutines read them now. Absent (older builds) means unknown: the store is asked.

Why this works: the accepting host had read its version from the store, so a read of the store after that returns that version or a later one.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -199,9 +199,9 @@
 	batches := &batch.Store{KV: h.store}
 	h.runner = &batchrun.Runner{
 		Batches: batches, Config: h.config.Load, Inventory: h.inventory, Logger: h.Logger,
-		Generation: &generation.Client{Dialect: h.Dialect, Logger: h.Logger, Plain: h.Plain},
-		Rewards:    h.Forwarder,
-		Self:       batch.Owner{Host: h.Settings.ID, Incarnation: incarnation},
+		Generation:    &generation.Client{Dialect: h.Dialect, Logger: h.Logger, Plain: h.Plain},
+		RefreshConfig: h.refreshConfig, Rewards: h.Forwarder,
+		Self: batch.Owner{Host: h.Settings.ID, Incarnation: incarnation},
 	}
 	h.Batches = &batchrun.Service{
 		Batches: batches, Index: &batch.Index{Logger: h.Logger, OnHead: h.runner.HandleHead},
@@ -400,15 +400,34 @@
 		h.Logger.Warn("invalid configuration ignored", slog.String("key", key), slog.Any("error", err))
 		return
 	}
-	current := h.config.Load()
-	if !ok || current != nil && current.Version >= c.Version {
+	if !ok {
 		return
 	}
-	h.config.Store(c)
+	for {
+		current := h.config.Load()
+		if current != nil && current.Version >= c.Version {
+			return
+		}
+		if h.config.CompareAndSwap(current, c) {
+			break
+		}
+	}
 	h.Logger.Info("configuration in force", slog.Int64("version", c.Version), slog.Int64("revision", revision),
 		slog.Int("routes", len(c.Routes)), slog.Int("services", len(c.Services)))
 }
 
+// refreshConfig reads the configuration from the store and puts it in force if it is newer.
+func (h *Host) refreshConfig(ctx context.Context) error {
+	entries, _, err := h.store.List(ctx, h.Decoder.Prefixes().Operators)
+	if err != nil {
+		return err
+	}
+	for _, entry := range entries {
+		h.applyConfig(entry.Key, entry.Value, entry.ModRevision)
+	}
+	return nil
+}
+
 // ConfigInForce returns the configuration in force, or an error of kind unavailable
 // while none has been read.
 func (h *Host) ConfigInForce() (*config.Config, error) {
--- a/internal/rollout/batch/batch.go
+++ b/internal/rollout/batch/batch.go
@@ -51,6 +51,9 @@
 
 // Batch is the set of items that a trainer submits for one training step.
 type Batch struct {
+	// ConfigVersion is the version of the configuration under which the batch was accepted.
+	// Only this one or a later one decides on its items. Zero means unknown.
+	ConfigVersion int64 `json:"config-version,omitempty"`
 	// Host and Target select the route, as with single requests.
 	Host  string `json:"host"`
 	ID    string `json:"id"`
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -76,6 +76,9 @@
 
 	// changed is closed and replaced when results have been stored.
 	changed chan struct{}
+	// configDoubtedAt is since when the scheduler waits for a current configuration before
+	// it handles the batch; zero if it doesn't.
+	configDoubtedAt time.Time
 	// unfinishedInGroup is the number of unfinished items by group.
 	unfinishedInGroup map[string]int
 	head              batch.Head
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -57,14 +57,18 @@
 	// OnReleased is called with the head of a batch that this host has released; it may
 	// be nil.
 	OnReleased func(context.Context, batch.Head)
+	// RefreshConfig reads the configuration from the store and puts it in force. Items are
+	// given up by their route only after that. Nil means that Config is always current.
+	RefreshConfig func(context.Context) error
 	// Rewards sends the reward requests of items whose text is complete.
 	Rewards *forward.Forwarder
 	// Self is this incarnation of this host.
 	Self batch.Owner
 
 	// mu guards the fields below, except those that only Start sets.
-	mu     sync.Mutex
-	closed closedCache
+	mu          sync.Mutex
+	closed      closedCache
+	configCheck configCheck
 	// draining is set once Drain stops all items; nothing is scheduled any more.
 	draining bool
 	failures failureCounts
@@ -277,7 +281,8 @@
 
 // schedule starts the items and reward calls that can start, in the order in which their
 // batches were submitted. The items of a batch that has no route, or is older than its
-// route's item limit, are finished as dead.
+// route's item limit, are finished as dead, once the store has confirmed the configuration.
+// A batch that was accepted under a newer configuration waits for that one.
 func (r *Runner) schedule(ctx context.Context) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -294,13 +299,16 @@
 		if br.ctx.Err() != nil {
 			continue // It is being handed over.
 		}
-		route, ok := c.Match(br.batch.Host, br.batch.Target)
-		if !ok {
-			br.finishAllDead(now, "no route matches the batch")
-			continue
+		route, expiry := br.findRoute(c, now)
+		if expiry != "" || c.Version < br.batch.ConfigVersion {
+			if !r.isConfigCurrent(ctx, br, now) {
+				continue
+			}
+		} else {
+			br.configDoubtedAt = time.Time{}
 		}
-		if route.ItemTimeout > 0 && now.Sub(br.head.Submitted()) > route.ItemTimeout {
-			br.finishAllDead(now, "item limit of the route exceeded")
+		if expiry != "" {
+			br.finishAllDead(now, expiry)
 			continue
 		}
 		service := route.PickService(0)
--- a/internal/rollout/batchrun/service.go
+++ b/internal/rollout/batchrun/service.go
@@ -87,6 +87,7 @@
 		return nil
 	}
 	owner := s.assignedOwner(b.Model)
+	b.ConfigVersion = s.Runner.configVersion()
 	head, created, err := s.Batches.Accept(ctx, b, batch.Owner{Host: owner.ID, Incarnation: owner.Incarnation})
 	if err != nil {
 		s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch not accepted", slog.String("batch", b.ID), slog.Any("error", err))
