Let readers vouch for their copies no longer than the bounds allow

While the store left one host without answers, hosts that it served answered 404 on a route for up to 3.5 s after its confirmation (76 of 1,195 requests; 2 s are allowed).

Cause: a reader checked the age of its last answer from the store (3 s allowed) when a follower's call began and then waited 1.5 s; its own watch without an answer ended at its own deadline, which was taken for a cancellation by the caller, so that nothing was relayed; and a watch was to be answered 50 ms before its deadline, which a slow store misses.

Change: each mirror has a maximum age, a share of the bound of its keys, checked during the wait and counted through standstills and late reads; watches end well before it; a direct call without an answer for 0.7 s counts as failed, also if its own deadline ended it; followers wait a share of the shortest bound. The settings get end-bound.

Why this works: a change that a reader misses is at most 0.85 of the bound old when its followers leave it, and the reader itself goes over another host after its first watch without an answer.

A failed try: the first form of the follower test began on an empty store, whose revision 0 makes a follower ask for the whole list again and again without waiting.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -45,11 +45,6 @@
 )
 
 const (
-	// sharedWatchWait bounds how long a watch of backend servers or live keys waits for
-	// a change at the store. Other hosts read these keys from this host only while the
-	// store has answered it within 3 s (maxStaleness in package follow), so the bound
-	// must be shorter.
-	sharedWatchWait = 2 * time.Second
 	// settleDelay is how long a host waits before it reads from other hosts or watches the
 	// store if it starts together with the whole fleet. By then all hosts are listed: the
 	// platform starts all machines within 0.3 s, and a host is listed after two calls.
@@ -317,7 +312,7 @@
 // the live keys of the fleet.
 func (h *Host) mirrors() []*mirror.Mirror {
 	prefixes := h.Decoder.Prefixes()
-	h.liveMirror = &mirror.Mirror{CoalesceDelay: h.Settings.coalesceDelay(), Prefix: mirror.LivePrefix, WatchTimeout: sharedWatchWait, OnChange: func(c mirror.Change) {
+	h.liveMirror = &mirror.Mirror{CoalesceDelay: h.Settings.coalesceDelay(), Prefix: mirror.LivePrefix, OnChange: func(c mirror.Change) {
 		h.roster.Apply(c)
 		h.loadController.SetHosts(roster.IDs(roster.Connected(h.roster.Active())))
 		h.Batches.Index.Apply(c)
@@ -327,15 +322,20 @@
 	}}
 	servers := h.serverMirror
 	servers.HostsMirror, servers.Prefix, servers.OnChange = h.liveMirror, prefixes.Servers, h.inventoryUpdater.apply
-	servers.CoalesceDelay, servers.WatchTimeout = h.Settings.coalesceDelay(), sharedWatchWait
-	mirrors := []*mirror.Mirror{
-		{HostsMirror: h.liveMirror, OnChange: h.applyOperatorChange, Prefix: prefixes.Operators, WatchTimeout: h.Settings.operatorWatchWait()},
-		servers,
-		h.liveMirror,
-	}
+	servers.CoalesceDelay = h.Settings.coalesceDelay()
+	operators := &mirror.Mirror{HostsMirror: h.liveMirror, OnChange: h.applyOperatorChange, Prefix: prefixes.Operators}
+	for m, bound := range map[*mirror.Mirror]time.Duration{
+		operators: h.Settings.configBound(), servers: h.Settings.drainBound(), h.liveMirror: min(h.Settings.drainBound(), h.Settings.endBound()),
+	} {
+		m.MaxAge, m.WatchTimeout = share(maxAgeShare, bound), share(watchShare, bound)
+	}
+	mirrors := []*mirror.Mirror{operators, servers, h.liveMirror}
 	compaction := new(mirror.CompactionSignal)
 	// One source for all mirrors: a reader that fails one of them is left by the others too.
-	source := &follow.Source{Pool: h.peers, Roster: h.roster, Self: h.Settings.ID}
+	source := &follow.Source{
+		Bound: min(h.Settings.configBound(), h.Settings.drainBound(), h.Settings.endBound()),
+		Pool:  h.peers, Roster: h.roster, Self: h.Settings.ID,
+	}
 	for _, m := range mirrors {
 		m.Compaction, m.Logger, m.Store = compaction, h.Logger, h.store
 		if h.Settings.PeerAddress != "" {
--- a/internal/entry/host/settings.go
+++ b/internal/entry/host/settings.go
@@ -3,6 +3,7 @@
 package host
 
 import (
+	"cmp"
 	"errors"
 	"net"
 	"time"
@@ -22,13 +23,20 @@
 	// address TTL. Within that time all callers ask for addresses again, except the few
 	// that keep an answer for three times the TTL.
 	leaveTTLMultiple = 2
-	// defaultConfigBound and defaultDrainBound apply if the settings leave them zero.
+	// defaultConfigBound, defaultDrainBound and defaultEndBound apply if the settings leave
+	// them zero.
 	defaultConfigBound = 2 * time.Second
 	defaultDrainBound  = 2 * time.Second
-	// operatorWatchShare is the longest wait of one watch of the operators' keys, as a
-	// share of the configuration bound. A compaction of the store's history may stay
-	// unnoticed until the watch ends.
-	operatorWatchShare = 0.75
+	defaultEndBound    = 3 * time.Second
+	// watchShare is the longest time of one watch of the store, as a share of the bound
+	// within which its changes have to be known. A compaction of the store's history may
+	// stay unnoticed until the watch ends.
+	watchShare = 0.7
+	// maxAgeShare is the age up to which other hosts rely on this host's copy, as a share of
+	// the same bound. It exceeds watchShare by the pause after a change, so that an answer
+	// to each watch is enough. The rest of the bound is for a read of the store by the
+	// host that relied on this one.
+	maxAgeShare = 0.85
 	// coalesceDelayShare is the pause after a change of servers or hosts before the next
 	// change is read, as a share of the drain bound. Changes in quick succession are then
 	// read together. If a host reads from another host, which reads from the store, both
@@ -49,6 +57,9 @@
 	// DrainBound is the time within which new requests to a leaving server stop. Zero
 	// means two seconds.
 	DrainBound time.Duration
+	// EndBound is the time within which items of an ended batch stop reaching servers.
+	// Zero means three seconds.
+	EndBound time.Duration
 	// Grace is the time that a process has to exit after the signal to stop. Zero
 	// means DefaultGrace.
 	Grace time.Duration
@@ -84,9 +95,9 @@
 	if s.ID == "" {
 		problems = append(problems, classError.New("the id of the host is missing"))
 	}
-	if s.ConfigBound < 0 || s.DrainBound < 0 || s.Grace < 0 || s.MaxAddressTTL < 0 || s.OrderSpacing < 0 || s.ResultRetention < 0 {
-		problems = append(problems, classError.New("a duration is negative: config-bound %s, drain-bound %s, grace %s, max-address-ttl %s, order-spacing %s, result-retention %s",
-			s.ConfigBound, s.DrainBound, s.Grace, s.MaxAddressTTL, s.OrderSpacing, s.ResultRetention))
+	if s.ConfigBound < 0 || s.DrainBound < 0 || s.EndBound < 0 || s.Grace < 0 || s.MaxAddressTTL < 0 || s.OrderSpacing < 0 || s.ResultRetention < 0 {
+		problems = append(problems, classError.New("a duration is negative: config-bound %s, drain-bound %s, end-bound %s, grace %s, max-address-ttl %s, order-spacing %s, result-retention %s",
+			s.ConfigBound, s.DrainBound, s.EndBound, s.Grace, s.MaxAddressTTL, s.OrderSpacing, s.ResultRetention))
 	}
 	if s.Cores < 0 || s.MaxDescriptors < 0 {
 		problems = append(problems, classError.New("a limit of the process is negative: processor %g, max-descriptors %d", s.Cores, s.MaxDescriptors))
@@ -117,6 +128,7 @@
 		{"config-bound", s.ConfigBound != other.ConfigBound},
 		{"directory-address", s.DirectoryAddress != other.DirectoryAddress},
 		{"drain-bound", s.DrainBound != other.DrainBound},
+		{"end-bound", s.EndBound != other.EndBound},
 		{"grace", s.Grace != other.Grace},
 		{"id", s.ID != other.ID},
 		{"max-address-ttl", s.MaxAddressTTL != other.MaxAddressTTL},
@@ -159,21 +171,18 @@
 // leaveWait returns how long a leaving host still accepts requests.
 func (s Settings) leaveWait() time.Duration { return leaveTTLMultiple * s.addressTTL() }
 
-// operatorWatchWait returns the longest that one watch of the operators' keys waits at
-// the store.
-func (s Settings) operatorWatchWait() time.Duration {
-	return shareOf(operatorWatchShare, s.ConfigBound, defaultConfigBound)
-}
+func (s Settings) configBound() time.Duration { return cmp.Or(s.ConfigBound, defaultConfigBound) }
+
+func (s Settings) drainBound() time.Duration { return cmp.Or(s.DrainBound, defaultDrainBound) }
+
+func (s Settings) endBound() time.Duration { return cmp.Or(s.EndBound, defaultEndBound) }
 
 // coalesceDelay returns the delay between two reads of changes of servers and hosts.
 func (s Settings) coalesceDelay() time.Duration {
-	return shareOf(coalesceDelayShare, s.DrainBound, defaultDrainBound)
+	return share(coalesceDelayShare, s.drainBound())
 }
 
-// shareOf returns the given share of bound, or of fallback if bound is not positive.
-func shareOf(share float64, bound, fallback time.Duration) time.Duration {
-	if bound <= 0 {
-		bound = fallback
-	}
-	return time.Duration(share * float64(bound))
+// share returns the given part of bound.
+func share(part float64, bound time.Duration) time.Duration {
+	return time.Duration(part * float64(bound))
 }
--- a/internal/external/kvrelay/kvrelay.go
+++ b/internal/external/kvrelay/kvrelay.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -33,6 +34,9 @@
 	// relayedWatchMargin is the time that a relayed watch has, in addition to its
 	// wait, for the way through the other host to the service and back.
 	relayedWatchMargin = 500 * time.Millisecond
+	// answerTimeout is the time without an answer after which a direct call counts as
+	// failed, even if the deadline of its caller ended it.
+	answerTimeout = 700 * time.Millisecond
 	// maxRelaysPerCall is the number of other hosts that one call tries.
 	maxRelaysPerCall = 2
 )
@@ -79,12 +83,12 @@
 ) error {
 	err := error(kind.New(kind.StoreUnavailable, "the key-value service is unavailable to this host and no other host can relay the call"))
 	if s.directAllowed() {
+		began := time.Now()
 		err = direct()
+		s.recordEnded(ctx, began, err)
 		if ctx.Err() != nil {
-			// The caller ended the call, which says nothing about the service.
 			return err
 		}
-		s.recordDirect(err)
 		if err == nil || !kind.Is(err, kind.StoreUnavailable) {
 			return err
 		}
@@ -126,6 +130,19 @@
 	return !time.Now().Before(s.retryDirectAt)
 }
 
+// recordEnded records the outcome of a direct call that began at began. A call that its
+// caller cancelled, or for which the caller had little time, says nothing about the service.
+// But a service that gives no answer until a longer deadline has failed: watches are asked
+// to be answered before theirs.
+func (s *Store) recordEnded(ctx context.Context, began time.Time, err error) {
+	switch {
+	case ctx.Err() == nil || err == nil:
+		s.recordDirect(err)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && time.Since(began) >= answerTimeout:
+		s.recordDirect(kind.New(kind.StoreUnavailable, "no answer of the key-value service in %s: %v", time.Since(began), err))
+	}
+}
+
 func (s *Store) recordDirect(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/external/kvrelay/kvrelay_test.go
+++ b/internal/external/kvrelay/kvrelay_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
@@ -179,3 +180,64 @@
 	_, err = old.Next(t.Context())
 	is.Equal(err, kv.ErrCompacted)
 }
+
+// silentStub answers no watch before the context ends.
+type silentStub struct {
+	kv.RangeStore
+
+	watches atomic.Int64
+}
+
+func (s *silentStub) Watch(context.Context, string, int64) (kv.Watcher, error) {
+	return silentWatcher{s}, nil
+}
+
+type silentWatcher struct{ stub *silentStub }
+
+func (silentWatcher) Close() {}
+
+func (w silentWatcher) Next(ctx context.Context) (kv.Batch, error) {
+	w.stub.watches.Add(1)
+	<-ctx.Done()
+	return kv.Batch{}, ctx.Err()
+}
+
+// TestWatchWithoutAnswerIsRelayed guards against hosts that stay behind because the store
+// answers none of their watches (CONFIG): the end of such a watch at its own deadline was
+// taken for a cancellation by the caller, and the next one waited for the store again.
+func TestWatchWithoutAnswerIsRelayed(t *testing.T) {
+	cases := map[string]struct {
+		timeout     time.Duration
+		cancelled   bool
+		wantRelayed bool
+	}{
+		"no answer until the deadline": {timeout: time.Second, wantRelayed: true},
+		"deadline soon after the call": {timeout: 50 * time.Millisecond},
+		"cancelled by the caller":      {timeout: time.Second, cancelled: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			store, _, other := newPair(t)
+			silent := &silentStub{}
+			store.Direct = silent
+			watcher, err := store.Watch(t.Context(), "a", 5)
+			is.NoErr(err)
+			ctx, cancel := context.WithTimeout(t.Context(), c.timeout)
+			defer cancel()
+			if c.cancelled {
+				time.AfterFunc(c.timeout-100*time.Millisecond, cancel)
+			}
+			_, err = watcher.Next(ctx)
+			is.True(err != nil)
+			ctx, cancel = context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			batch, err := watcher.Next(ctx)
+			is.Equal(err == nil, c.wantRelayed)
+			is.Equal(batch.Revision == 6, c.wantRelayed)
+			is.Equal(other.calls.Load() == 1, c.wantRelayed)
+			is.Equal(silent.watches.Load() == 1, c.wantRelayed)
+		})
+	}
+}
--- a/internal/external/kvrelay/server.go
+++ b/internal/external/kvrelay/server.go
@@ -31,10 +31,9 @@
 	if !h.store.directAllowed() {
 		return kind.New(kind.StoreUnavailable, "the key-value service is unavailable to the relaying host too")
 	}
+	began := time.Now()
 	err := call(h.store.Direct)
-	if ctx.Err() == nil {
-		h.store.recordDirect(err)
-	}
+	h.store.recordEnded(ctx, began, err)
 	return err
 }
 
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -4,6 +4,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -23,18 +24,18 @@
 
 const (
 	// hostsPerReader is the number of hosts that share a reader. A reader answers
-	// three calls from each of them per PollTimeout, one for each of a host's mirrors.
+	// three calls from each of them per poll, one for each of a host's mirrors.
 	hostsPerReader = 40
 	minReaders     = 2
-	// PollTimeout is how long one call waits for a change.
-	PollTimeout = 1500 * time.Millisecond
-	// networkMargin is added to PollTimeout for the transfer of the reply.
-	networkMargin = 300 * time.Millisecond
-	// maxStaleness is the maximum time since the last reply of the store to a reader.
-	// After a longer time, the reader answers that it is behind. WatchTimeout of a
-	// reader's mirrors must be shorter, so that the store answers their watches at
-	// least this often.
-	maxStaleness = 3 * time.Second
+	// maxPollWait is the longest time for which one call waits for a change.
+	maxPollWait = 1500 * time.Millisecond
+	// pollWaitShare is that time as a share of the bound within which a change has to be
+	// known, and networkShare what is added for the transfer of the reply. The rest of the
+	// bound is for a read of the store if the reader doesn't answer.
+	pollWaitShare = 0.6
+	networkShare  = 0.15
+	// defaultBound applies if Source has no bound.
+	defaultBound = 2 * time.Second
 	// ejectionTime is how long a reader is not called after a failure.
 	ejectionTime = 3 * time.Second
 )
@@ -55,6 +56,9 @@
 // Source receives changes from the readers. Its exported fields must be set before
 // the first call.
 type Source struct {
+	// Bound is the time within which this host has to know a change, even if the reader
+	// that it asks stops answering. Zero means two seconds.
+	Bound  time.Duration
 	Pool   *peer.Pool
 	Roster *roster.Roster
 	// Self is the id of this host.
@@ -89,13 +93,15 @@
 
 // poll asks the reader at address for the changes after revision.
 func (s *Source) poll(ctx context.Context, address, prefix string, revision int64) (mirror.Update, error) {
-	ctx, cancel := context.WithTimeout(ctx, PollTimeout+networkMargin)
+	bound := cmp.Or(s.Bound, defaultBound)
+	wait := min(time.Duration(pollWaitShare*float64(bound)), maxPollWait)
+	ctx, cancel := context.WithTimeout(ctx, wait+time.Duration(networkShare*float64(bound)))
 	defer cancel()
 	var reply *followpb.NextReply
 	err := s.Pool.Call(address, func(conn grpc.ClientConnInterface) error {
 		var err error
 		reply, err = followpb.NewFollowClient(conn).Next(ctx, &followpb.NextRequest{
-			Prefix: prefix, Revision: revision, WaitMillis: PollTimeout.Milliseconds(),
+			Prefix: prefix, Revision: revision, WaitMillis: wait.Milliseconds(),
 		})
 		return err
 	})
@@ -141,7 +147,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.GetWaitMillis())*time.Millisecond)
 	defer cancel()
-	update, ok := m.Since(ctx, r.GetRevision(), maxStaleness)
+	update, ok := m.Since(ctx, r.GetRevision())
 	reply := &followpb.NextReply{Behind: !ok, Revision: update.Revision, Whole: update.Reset}
 	for _, e := range update.Events {
 		reply.Events = append(reply.Events, &followpb.Event{
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -3,6 +3,7 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -14,6 +15,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/nutmegway/nutmegway/internal/base/elapsed"
 	"github.com/nutmegway/nutmegway/internal/base/wait"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
 )
@@ -21,6 +23,9 @@
 // LivePrefix is the prefix of the few keys that every host mirrors.
 const LivePrefix = "nutmegway/live/"
 
+// DefaultMaxAge is the MaxAge of a mirror that has none.
+const DefaultMaxAge = 3 * time.Second
+
 const (
 	// initialRetryDelay and maxRetryDelay bound the back-off after a failed call.
 	// The maximum keeps the calls of hundreds of hosts far below the rate limit of
@@ -118,7 +123,10 @@
 	StaleLister StaleLister
 	// OnChange is called for each change, in order, from a single goroutine.
 	OnChange func(Change)
-	Prefix   string
+	// MaxAge is the age up to which hosts that follow this one may rely on the copy: the
+	// time since the store last answered. Zero means DefaultMaxAge.
+	MaxAge time.Duration
+	Prefix string
 	// SettleDelay is the pause before the first list if StaleLister returns no
 	// revision, as when a whole fleet starts. It gives the other hosts time to be
 	// listed.
@@ -129,8 +137,9 @@
 	// Store is the key-value service. Its watchers must be usable after any error
 	// except kv.ErrCompacted, as those of a kv.RangeStore are.
 	Store kv.Store
-	// WatchTimeout bounds how long one watch call waits at the store. Zero leaves
-	// the bound to the store's client. A short timeout detects a compaction soon.
+	// WatchTimeout bounds one watch call, from the call to its answer. Zero leaves the
+	// bound to the store's client. A short timeout detects a compaction soon. It must be
+	// shorter than MaxAge, so that the store answers a healthy host often enough.
 	WatchTimeout time.Duration
 
 	// delivered is set once OnChange has received the first list.
@@ -141,9 +150,9 @@
 	changed chan struct{}
 	// listed is closed once the copy holds a first list.
 	listed chan struct{}
-	// lastConfirmed is the time of the last answer from the store itself.
-	lastConfirmed time.Time
-	entries       map[string]kv.Entry
+	// confirmation tells when the store itself last answered.
+	confirmation confirmation
+	entries      map[string]kv.Entry
 	// recent holds all events after revision recentFrom.
 	recent     []kv.Event
 	recentFrom int64
@@ -247,6 +256,7 @@
 // Source first unless storeOnly is set. It returns the watcher for the next step.
 func (m *Mirror) step(ctx context.Context, watcher kv.Watcher, lostSince time.Time, storeOnly bool) (kv.Watcher, error) {
 	compacted := m.Compaction.Compacted()
+	began := elapsed.Now(nil)
 	if !storeOnly && m.follow(ctx, lostSince) {
 		// The watch continues from the revision of the other host.
 		return m.Store.Watch(ctx, m.Prefix, m.currentRevision())
@@ -256,14 +266,14 @@
 		if err != nil {
 			return nil, err
 		}
-		m.confirm(m.diff(entries), revision, outageDuration(lostSince))
+		m.confirm(m.diff(entries), revision, outageDuration(lostSince), m.delayOf(began))
 		return m.Store.Watch(ctx, m.Prefix, revision)
 	}
 	batch, err := m.nextBatch(ctx, watcher, compacted)
 	if err != nil {
 		return nil, err
 	}
-	m.confirm(batch.Events, batch.Revision, outageDuration(lostSince))
+	m.confirm(batch.Events, batch.Revision, outageDuration(lostSince), m.delayOf(began))
 	if len(batch.Events) > 0 && m.CoalesceDelay > 0 {
 		wait.For(ctx, m.CoalesceDelay)
 	}
@@ -309,14 +319,16 @@
 
 // Since returns the changes after revision, for hosts that follow this one. It
 // waits for a change until ctx ends. On a host that has just started it also waits
-// for the first answer of the store. It returns false if the last answer of the
-// store is older than maxAge, if the copy is behind revision, or if ctx ends before
-// the first answer.
-func (m *Mirror) Since(ctx context.Context, revision int64, maxAge time.Duration) (Update, bool) {
+// for the first answer of the store. It returns false as soon as the last answer of the
+// store is older than MaxAge, also during the wait, if the copy is behind revision, or
+// if ctx ends before the first answer.
+func (m *Mirror) Since(ctx context.Context, revision int64) (Update, bool) {
+	maxAge := cmp.Or(m.MaxAge, DefaultMaxAge)
 	for {
 		m.mu.Lock()
-		starting := m.lastConfirmed.IsZero() && m.revision == 0 && m.StaleLister != nil
-		if !starting && (time.Since(m.lastConfirmed) > maxAge || revision > m.revision) {
+		starting := !m.confirmation.known && m.revision == 0 && m.StaleLister != nil
+		rest := maxAge - m.confirmation.age()
+		if !starting && (!m.confirmation.known || rest < 0 || revision > m.revision) {
 			m.mu.Unlock()
 			return Update{}, false
 		}
@@ -330,10 +342,23 @@
 		if found || ctx.Err() != nil {
 			return update, !starting
 		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-		}
+		m.awaitChange(ctx, changed, starting, rest)
+	}
+}
+
+// awaitChange waits until changed is closed or ctx ends, and no longer than the copy stays
+// young enough, unless the host is starting.
+func (m *Mirror) awaitChange(ctx context.Context, changed <-chan struct{}, starting bool, rest time.Duration) {
+	var outdated <-chan time.Time
+	if !starting {
+		timer := time.NewTimer(rest + time.Millisecond)
+		defer timer.Stop()
+		outdated = timer.C
+	}
+	select {
+	case <-changed:
+	case <-ctx.Done():
+	case <-outdated:
 	}
 }
 
@@ -425,16 +450,38 @@
 	m.notify(events, outage)
 }
 
-// confirm applies events from the store itself and records the time.
-func (m *Mirror) confirm(events []kv.Event, revision int64, outage time.Duration) {
+// confirmation tells when the store itself last answered. Times include those during which
+// the process stood still.
+type confirmation struct {
+	at elapsed.Mark
+	// delay is how old the answer was at least when it was read.
+	delay time.Duration
+	known bool
+}
+
+// age returns the time since the answer.
+func (c confirmation) age() time.Duration { return c.at.Since(nil) + c.delay }
+
+// delayOf returns how old an answer of the store to a call that began at began is at least.
+// The store answers within WatchTimeout; a later answer has waited to be read.
+func (m *Mirror) delayOf(began elapsed.Mark) time.Duration {
+	if m.WatchTimeout == 0 {
+		return 0
+	}
+	return max(began.Since(nil)-m.WatchTimeout, 0)
+}
+
+// confirm applies events from the store itself and records the time of its answer, which
+// was read after delay.
+func (m *Mirror) confirm(events []kv.Event, revision int64, outage, delay time.Duration) {
 	m.mu.Lock()
 	m.merge(events, revision)
-	if m.lastConfirmed.IsZero() && m.changed != nil {
+	if !m.confirmation.known && m.changed != nil {
 		// The first answer wakes all waiters, even if it has no events.
 		close(m.changed)
 		m.changed = nil
 	}
-	m.lastConfirmed = time.Now()
+	m.confirmation = confirmation{at: elapsed.Now(nil), delay: delay, known: true}
 	m.mu.Unlock()
 	m.notify(events, outage)
 }
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -176,7 +176,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	update, ok := s.mirror.Since(ctx, revision, 3*time.Second)
+	update, ok := s.mirror.Since(ctx, revision)
 	if !ok {
 		return mirror.Update{}, true, errors.New("behind")
 	}
@@ -311,12 +311,12 @@
 		defer stop()
 		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 		defer cancel()
-		_, ok := m.Since(ctx, 0, time.Second)
+		_, ok := m.Since(ctx, 0)
 		is.True(!ok) // the first list comes after 1 s
 		ctx, cancel = context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		began := time.Now()
-		update, ok := m.Since(ctx, 0, time.Second)
+		update, ok := m.Since(ctx, 0)
 		is.True(ok)
 		is.True(update.Reset)
 		is.Equal(len(update.Events), 1)
--- /dev/null
+++ b/internal/fleet/mirror/silent_test.go
@@ -0,0 +1,171 @@
+package mirror_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/nutmegway/nutmegway/internal/external/kv"
+	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
+	"github.com/nutmegway/nutmegway/internal/standin/kvmemory"
+)
+
+// silentStore leaves the calls of one host without answers while it is silent. Otherwise its
+// watches are answered some time before the deadline, as those of the platform's store.
+type silentStore struct {
+	*kvmemory.Store
+
+	mu     sync.Mutex
+	silent bool
+	// watching is when the last watch began.
+	watching time.Time
+}
+
+const answerMargin = 300 * time.Millisecond
+
+func (s *silentStore) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+func (s *silentStore) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
+func (s *silentStore) Watch(ctx context.Context, prefix string, revision int64) (kv.Watcher, error) {
+	watcher, err := s.Store.Watch(ctx, prefix, revision)
+	return silentWatcher{Watcher: watcher, store: s, revision: revision}, err
+}
+
+type silentWatcher struct {
+	kv.Watcher
+
+	revision int64
+	store    *silentStore
+}
+
+func (w silentWatcher) Next(ctx context.Context) (kv.Batch, error) {
+	w.store.mu.Lock()
+	w.store.watching = time.Now()
+	w.store.mu.Unlock()
+	deadline, _ := ctx.Deadline()
+	answerBy, cancel := context.WithDeadline(ctx, deadline.Add(-answerMargin))
+	defer cancel()
+	batch, err := w.Watcher.Next(answerBy)
+	if w.store.isSilent() {
+		<-ctx.Done()
+		return kv.Batch{}, ctx.Err()
+	}
+	if err != nil && answerBy.Err() != nil && ctx.Err() == nil {
+		return kv.Batch{Revision: w.revision}, nil // the wait has ended without events
+	}
+	return batch, err
+}
+
+const (
+	bound        = 2 * time.Second
+	watchTimeout = 1400 * time.Millisecond
+	maxAge       = 1700 * time.Millisecond
+)
+
+// TestFollowersOfSilentReaderKnowChangesInTime guards against hosts that act on an older
+// configuration although the store serves them (CONFIG): the host that they read from gets
+// no answers from the store and went on telling them that nothing had changed. The silence
+// begins at each moment of a watch, together with a change.
+func TestFollowersOfSilentReaderKnowChangesInTime(t *testing.T) {
+	for phase := time.Duration(0); phase < watchTimeout-answerMargin; phase += 100 * time.Millisecond {
+		t.Run(fmt.Sprintf("silent %s after a watch began", phase), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store, r := &kvmemory.Store{}, &recorder{}
+				put(t, store, "p/0", "a")
+				away := &silentStore{Store: store}
+				reader := &mirror.Mirror{MaxAge: maxAge, Prefix: "p/", Store: away, WatchTimeout: watchTimeout}
+				follower := &mirror.Mirror{
+					OnChange: r.onChange, Prefix: "p/", Source: &mirrorSource{mirror: reader}, Store: store, WatchTimeout: watchTimeout,
+				}
+				stop := start(t, reader, follower)
+				defer stop()
+				time.Sleep(10 * time.Second)
+				for watch := away.lastWatch(); away.lastWatch().Equal(watch); {
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(phase)
+				away.setSilent(true)
+				put(t, store, "p/1", "a")
+				began := time.Now()
+				for r.get("p/1") == "" {
+					time.Sleep(time.Millisecond)
+				}
+				is.True(time.Since(began) < bound)
+			})
+		})
+	}
+}
+
+func (s *silentStore) lastWatch() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watching
+}
+
+// TestSinceEndsWhenTheCopyIsTooOld checks that the age of the copy is also checked during
+// the wait for a change.
+func TestSinceEndsWhenTheCopyIsTooOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &silentStore{Store: &kvmemory.Store{}}
+		put(t, store, "p/1", "a")
+		m := &mirror.Mirror{MaxAge: maxAge, Prefix: "p/", Store: store, WatchTimeout: watchTimeout}
+		stop := start(t, m)
+		defer stop()
+		synctest.Wait()
+		confirmed := time.Now()
+		store.setSilent(true)
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+		defer cancel()
+		_, ok := m.Since(ctx, 1)
+		is.True(!ok)
+		is.True(time.Since(confirmed) < maxAge+10*time.Millisecond)
+	})
+}
+
+// lateStore answers each watch after a minute, as it seems to a process that stood still.
+type lateStore struct{ *kvmemory.Store }
+
+type lateWatcher struct{}
+
+func (lateStore) Watch(context.Context, string, int64) (kv.Watcher, error) { return lateWatcher{}, nil }
+
+func (lateWatcher) Close() {}
+
+func (lateWatcher) Next(context.Context) (kv.Batch, error) {
+	time.Sleep(time.Minute)
+	return kv.Batch{Revision: 1}, nil
+}
+
+// TestOldAnswerDoesNotRenewTheCopy has an answer that was read long after the store sent it.
+func TestOldAnswerDoesNotRenewTheCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := lateStore{&kvmemory.Store{}}
+		put(t, store, "p/1", "a")
+		m := &mirror.Mirror{MaxAge: maxAge, Prefix: "p/", Store: store, WatchTimeout: watchTimeout}
+		stop := start(t, m)
+		defer stop()
+		time.Sleep(time.Minute + time.Millisecond)
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, ok := m.Since(ctx, 1)
+		is.True(!ok)
+	})
+}
