Bound the header of an answer to 32 KiB

A report of another operator: a faulty server sends bytes that are no answer, without end, and the host that called it runs out of memory. Shown here: a header of 256 KiB with short fields takes about 1 MB, and 180 at once 126 MB of heap on machines of 134 MB, where one kind of server may well have 180 connections.

Change: a header may have 32 KiB.

--- a/internal/backend/plain/client.go
+++ b/internal/backend/plain/client.go
@@ -30,8 +30,9 @@
 const (
 	// DefaultConnectTimeout is the default of Client.ConnectTimeout.
 	DefaultConnectTimeout = time.Second
-	// maxHeaderBytes bounds the header of an answer.
-	maxHeaderBytes   = 256 << 10
+	// maxHeaderBytes bounds the header of an answer. Headers with many short fields take
+	// several times as much memory, and many answers may be read at once.
+	maxHeaderBytes   = 32 << 10
 	idleTimeout      = 30 * time.Second
 	maxIdlePerServer = 256
 )
