Let the requests in flight share the memory for buffered answers

Change: the requests in flight share 6 MB, with at least 16 KiB each and 256 KiB at most. Beyond its share a body is passed on as it comes; then an answer that breaks off can't be replaced by that of another server.

--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -29,10 +30,13 @@
 )
 
 const (
-	// bufferBytes is how much of an answer's body is read before any of it is sent to
+	// maxBufferBytes is how much of an answer's body is read before any of it is sent to
 	// the caller. If a shorter answer is interrupted, nothing has been sent, and the
-	// caller can still get the answer of another server.
-	bufferBytes = 256 << 10
+	// caller can still get the answer of another server. The requests in flight share
+	// bufferMemory, but each has minBufferBytes.
+	maxBufferBytes = 256 << 10
+	minBufferBytes = 16 << 10
+	bufferMemory   = 6 << 20
 	// defaultBudget is the time budget of a request whose caller sets none. The
 	// route's timeout shortens it.
 	defaultBudget = 30 * time.Second
@@ -105,8 +109,10 @@
 	// Zone is the availability zone of this host.
 	Zone string
 
-	metrics instruments
-	once    sync.Once
+	// inFlight counts the requests of callers that are being served.
+	inFlight atomic.Int64
+	metrics  instruments
+	once     sync.Once
 }
 
 // answer is the outcome of one attempt at one server.
@@ -134,6 +140,8 @@
 // Serve panics with [http.ErrAbortHandler] to close the caller's connection.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, request Request, route config.Route) error {
 	f.once.Do(func() { f.metrics = newInstruments(f.Logger) })
+	f.inFlight.Add(1)
+	defer f.inFlight.Add(-1)
 	budget := defaultBudget
 	if request.Budget > 0 {
 		budget = request.Budget
@@ -224,7 +232,7 @@
 }
 
 // Send sends a request that may be repeated to one server, reads the complete answer and
-// discards its body. An event stream or an answer of 256 KiB or more is an error.
+// discards its body. An event stream or an answer beyond the buffer of a request is an error.
 // atMostOnce has the meaning of [plain.Request.AtMostOnce]: the request uses a connection
 // of its own.
 func (f *Forwarder) Send(
@@ -237,12 +245,12 @@
 	}
 	outcome := Outcome{Header: a.response.Header, Ran: a.ran, Status: a.response.StatusCode}
 	if a.hasMore {
-		outcome.Err = kind.New(kind.BackendFailed, "the answer of backend server %q is too long: at least %d bytes", candidate.ID, bufferBytes)
+		outcome.Err = kind.New(kind.BackendFailed, "the answer of backend server %q is too long: at least %d bytes", candidate.ID, len(a.head))
 	}
 	return outcome
 }
 
-// send sends the request to one server and reads up to bufferBytes of the answer's body.
+// send sends the request to one server and reads the answer's body up to the buffer size.
 // It does not read the body of an event stream or of an answer that says that the request
 // has not run. atMostOnce has the meaning of [plain.Request.AtMostOnce].
 func (f *Forwarder) send(
@@ -273,7 +281,7 @@
 		f.Inventory.BackOff(candidate.ID, minRetryAfter)
 		return a
 	}
-	a.head, a.hasMore, err = readHead(response)
+	a.head, a.hasMore, err = f.readHead(response)
 	if err != nil {
 		_ = response.Body.Close()
 		return answer{server: candidate.Server, err: err, ran: kind.RanUnknown}
@@ -284,13 +292,19 @@
 	return a
 }
 
-// readHead reads up to bufferBytes of the body of an answer, or nothing of an event stream.
-func readHead(response *http.Response) (head []byte, hasMore bool, err error) {
+// readHead reads the body of an answer up to the buffer size, or nothing of an event stream.
+func (f *Forwarder) readHead(response *http.Response) (head []byte, hasMore bool, err error) {
 	if isEventStream(response) {
 		return nil, true, nil
 	}
-	head, err = io.ReadAll(io.LimitReader(response.Body, bufferBytes))
-	return head, len(head) == bufferBytes, err
+	limit := f.bufferSize()
+	head, err = io.ReadAll(io.LimitReader(response.Body, limit))
+	return head, int64(len(head)) == limit, err
+}
+
+// bufferSize returns how many bytes of an answer may be buffered now.
+func (f *Forwarder) bufferSize() int64 {
+	return min(max(bufferMemory/max(f.inFlight.Load(), 1), minBufferBytes), maxBufferBytes)
 }
 
 // ParseLoad returns the total number of running and waiting requests from a server's load
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -79,7 +79,7 @@
 	})
 }
 
-// relay hands the request on and reads up to bufferBytes of the answer's body.
+// relay hands the request on and reads the answer's body up to the buffer size.
 func (x *exchange) relay(ctx context.Context, maxAttempts int) answer {
 	started := time.Now()
 	request := x.request
@@ -96,7 +96,7 @@
 		x.Client.Observe(server.Address, id, response, started)
 	}
 	a := answer{relayed: true, response: response, ran: kind.RanYes}
-	a.head, a.hasMore, err = readHead(response)
+	a.head, a.hasMore, err = x.readHead(response)
 	if err != nil {
 		_ = response.Body.Close()
 		return answer{err: err, ran: kind.RanUnknown, relayed: true}
