--- a/cmd/nutmegway-lab/soakcmd.go
+++ b/cmd/nutmegway-lab/soakcmd.go
@@ -18,6 +18,8 @@
 	var keep bool
 	var seconds int
 	c.Flag("keep", "Keep the folder with settings and logs even if no guarantee was violated.").BoolVar(&keep)
+	c.Flag("other-binary", "Another build of nutmegway. Hosts begin with either build and change it at each start.").
+		StringVar(&run.OtherBinary)
 	c.Flag("processes", "Number of hosts, each a process of the nutmegway binary in the folder of this binary.").
 		Default("4").IntVar(&run.Processes)
 	c.Flag("seconds", "Length of the run, excluding start and shutdown; faults come in whole cycles of 21 s.").
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -55,7 +55,8 @@
 
 // node is an entry host that runs as a separate process.
 type node struct {
-	binary   string
+	// binaries are the programs of the host. Each start takes the next one.
+	binaries []string
 	eventMu  sync.Mutex
 	file     string
 	link     *faultproxy.Proxy
@@ -63,12 +64,15 @@
 	index    int
 	process  *process.Process
 	settings host.Settings
+	// starts counts the starts of the host.
+	starts int
 	// started is when the current process was started, in Unix nanoseconds.
 	started atomic.Int64
 }
 
 func (n *node) start(ctx context.Context) error {
-	n.process = &process.Process{Args: []string{"host", "--settings", n.file}, Log: n.log, Path: n.binary}
+	n.process = &process.Process{Args: []string{"host", "--settings", n.file}, Log: n.log, Path: n.binaries[(n.index+n.starts)%len(n.binaries)]}
+	n.starts++
 	n.started.Store(time.Now().UnixNano())
 	return n.process.Start(ctx)
 }
@@ -188,7 +192,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &node{binary: s.Binary, file: file, link: link, log: log, index: number, settings: settings}, nil
+	binaries := []string{s.Binary}
+	if s.OtherBinary != "" {
+		binaries = append(binaries, s.OtherBinary)
+	}
+	return &node{binaries: binaries, file: file, link: link, log: log, index: number, settings: settings}, nil
 }
 
 func (f *fleet) serveStore(w http.ResponseWriter, r *http.Request) {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -39,6 +39,9 @@
 	Dir string
 	// Duration is the length of the schedule, excluding start-up and the final reads.
 	Duration time.Duration
+	// OtherBinary is the path of another build of nutmegway. If it is set, half of the hosts
+	// begin with it, and each host changes the build at each of its starts.
+	OtherBinary string
 	// Processes is the number of hosts.
 	Processes int
 	// Progress receives the schedule, one event per line.
