--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -306,7 +306,7 @@
 		is := is.New(t)
 		store := &kvmemory.Store{}
 		put(t, store, "a/x", "1")
-		m := &mirror.Mirror{StaleLister: staleList{}, Prefix: "a/", SettleDelay: time.Second, Store: store}
+		m := &mirror.Mirror{MaxAge: time.Second, StaleLister: staleList{}, Prefix: "a/", SettleDelay: time.Second, Store: store}
 		stop := start(t, m)
 		defer stop()
 		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
