Decode accounts, duties, scaling and memory from settings and configuration

Cause: the shifted and the tour guide deployments name client accounts with API keys, duties at the platform, bounds for both, and prices of servers that may be ordered; the product dropped all of them. Nothing acts on them yet.

--- a/internal/entry/host/settings.go
+++ b/internal/entry/host/settings.go
@@ -57,6 +57,12 @@
 	// DrainBound is the time within which new requests to a leaving server stop. Zero
 	// means two seconds.
 	DrainBound time.Duration
+	// DutyAddress is the address of the platform's interface for duties, which one host at a
+	// time performs. If empty, the host has no duties.
+	DutyAddress string
+	// DutyRate is the number of calls a second that the platform's interface for duties
+	// accepts from all hosts together. Zero leaves it unbounded.
+	DutyRate float64
 	// EndBound is the time within which items of an ended batch stop reaching servers.
 	// Zero means three seconds.
 	EndBound time.Duration
@@ -70,8 +76,13 @@
 	// MaxDescriptors is the number of file descriptors that the process may open. Zero
 	// leaves callers' connections unbounded.
 	MaxDescriptors int
+	// MemoryBytes is the memory that the process may use. Zero means that it isn't known.
+	MemoryBytes int64
 	// MetricsAddress is where metrics are served. If empty, they aren't served.
 	MetricsAddress string
+	// OrdersServers is set if the hosts order the servers of services whose configuration
+	// lets them.
+	OrdersServers bool
 	// OrderSpacing is the shortest time between two load orders to one engine that come
 	// from different hosts.
 	OrderSpacing time.Duration
@@ -85,8 +96,17 @@
 	ReadyAddress string
 	// ResultRetention is how long results are kept after the batch was submitted.
 	ResultRetention time.Duration
+	// RevocationBound is the time within which requests with a key that was taken away stop
+	// reaching servers, also from a host that can't reach the store. Zero leaves keys in
+	// force until the host learns that they were taken away.
+	RevocationBound time.Duration
 	StoreAddress    string
-	Zone            string
+	// UsageDelay is the time after the end of a window by which its usage is due.
+	UsageDelay time.Duration
+	// UsageWindow is the length of the windows for which usage is reported. Zero means that
+	// none is.
+	UsageWindow time.Duration
+	Zone        string
 }
 
 // Check returns all invalid settings as one joined error.
@@ -99,11 +119,16 @@
 		problems = append(problems, classError.New("a duration is negative: config-bound %s, drain-bound %s, end-bound %s, grace %s, max-address-ttl %s, order-spacing %s, result-retention %s",
 			s.ConfigBound, s.DrainBound, s.EndBound, s.Grace, s.MaxAddressTTL, s.OrderSpacing, s.ResultRetention))
 	}
-	if s.Cores < 0 || s.MaxDescriptors < 0 {
-		problems = append(problems, classError.New("a limit of the process is negative: processor %g, max-descriptors %d", s.Cores, s.MaxDescriptors))
+	if s.RevocationBound < 0 || s.UsageDelay < 0 || s.UsageWindow < 0 {
+		problems = append(problems, classError.New("a duration is negative: revocation-bound %s, usage-delay %s, usage-window %s",
+			s.RevocationBound, s.UsageDelay, s.UsageWindow))
+	}
+	if s.Cores < 0 || s.MaxDescriptors < 0 || s.MemoryBytes < 0 || s.DutyRate < 0 {
+		problems = append(problems, classError.New("a limit of the process is negative: processor %g, max-descriptors %d, memory-bytes %d, duty-rate %g",
+			s.Cores, s.MaxDescriptors, s.MemoryBytes, s.DutyRate))
 	}
 	addresses := map[string]string{
-		"callers": s.CallerAddress, "directory": s.DirectoryAddress, "metrics": s.MetricsAddress, "peers": s.PeerAddress, "ready": s.ReadyAddress,
+		"callers": s.CallerAddress, "directory": s.DirectoryAddress, "duties": s.DutyAddress, "metrics": s.MetricsAddress, "peers": s.PeerAddress, "ready": s.ReadyAddress,
 	}
 	for name, address := range addresses {
 		if err := checkAddress(address); address != "" && err != nil {
@@ -128,18 +153,25 @@
 		{"config-bound", s.ConfigBound != other.ConfigBound},
 		{"directory-address", s.DirectoryAddress != other.DirectoryAddress},
 		{"drain-bound", s.DrainBound != other.DrainBound},
+		{"duty-address", s.DutyAddress != other.DutyAddress},
+		{"duty-rate", s.DutyRate != other.DutyRate},
 		{"end-bound", s.EndBound != other.EndBound},
 		{"grace", s.Grace != other.Grace},
 		{"id", s.ID != other.ID},
 		{"max-address-ttl", s.MaxAddressTTL != other.MaxAddressTTL},
 		{"max-descriptors", s.MaxDescriptors != other.MaxDescriptors},
+		{"memory-bytes", s.MemoryBytes != other.MemoryBytes},
 		{"metrics-address", s.MetricsAddress != other.MetricsAddress},
 		{"order-spacing", s.OrderSpacing != other.OrderSpacing},
+		{"orders-servers", s.OrdersServers != other.OrdersServers},
 		{"peer-address", s.PeerAddress != other.PeerAddress},
 		{"processor", s.Cores != other.Cores},
 		{"ready-address", s.ReadyAddress != other.ReadyAddress},
 		{"result-retention", s.ResultRetention != other.ResultRetention},
+		{"revocation-bound", s.RevocationBound != other.RevocationBound},
 		{"store-address", s.StoreAddress != other.StoreAddress},
+		{"usage-delay", s.UsageDelay != other.UsageDelay},
+		{"usage-window", s.UsageWindow != other.UsageWindow},
 		{"zone", s.Zone != other.Zone},
 	} {
 		if field.differs {
--- a/internal/fleet/config/config.go
+++ b/internal/fleet/config/config.go
@@ -41,7 +41,9 @@
 	Prefix     string
 	// Priority is the priority of the requests; 0 is the highest.
 	Priority int
-	Repeat   RepeatPolicy
+	// Public routes need no API key.
+	Public bool
+	Repeat RepeatPolicy
 	// RunTarget is the target time from the submission of a batch to its results.
 	RunTarget time.Duration
 	// Resumable marks streams that another server can resume after a failure.
@@ -61,14 +63,41 @@
 	// MaxConns is the maximum number of connections that one server accepts from
 	// all hosts together.
 	MaxConns int
+	// KVTokens is the number of tokens that the memory of a model engine holds; zero if it
+	// isn't known.
+	KVTokens int
 	// Models are the names of the models whose weights each server loads. It is
 	// empty for plain services.
 	Models []string
 	Name   string
+	// Scaling says within which limits the number of servers may be ordered; nil if it is
+	// fixed.
+	Scaling *Scaling
 	// Slots is the number of requests that a model engine runs in one batch.
 	Slots int
 }
 
+// Scaling holds the limits and the prices of the servers that may be ordered for a service.
+type Scaling struct {
+	// Boot is the time from an order until the new servers serve.
+	Boot time.Duration
+	// Min and Max bound the number of servers in one availability zone.
+	Min, Max int
+	// SpotPrice is the price of a server that may be reclaimed, as a share of the price of
+	// another one; zero if there are none.
+	SpotPrice float64
+	// ZonePrices holds the relative price of a server by availability zone.
+	ZonePrices map[string]float64
+}
+
+// Account is a client account. Its requests carry one of its keys.
+type Account struct {
+	Keys []string
+	Name string
+	// Priority, if not nil, goes before the priority of the route.
+	Priority *int
+}
+
 // Limits are the limits on callers' requests and connections.
 type Limits struct {
 	BodyBytes     int64
@@ -79,6 +108,8 @@
 
 // Config is one version of the configuration. It must not be modified once in use.
 type Config struct {
+	// Accounts are the client accounts. If it is empty, requests need no key.
+	Accounts []Account
 	Limits   Limits
 	Routes   []Route
 	Services map[string]Service
