--- a/internal/entry/host/settings.go
+++ b/internal/entry/host/settings.go
@@ -115,18 +115,7 @@
 	if s.ID == "" {
 		problems = append(problems, classError.New("the id of the host is missing"))
 	}
-	if s.ConfigBound < 0 || s.DrainBound < 0 || s.EndBound < 0 || s.Grace < 0 || s.MaxAddressTTL < 0 || s.OrderSpacing < 0 || s.ResultRetention < 0 {
-		problems = append(problems, classError.New("a duration is negative: config-bound %s, drain-bound %s, end-bound %s, grace %s, max-address-ttl %s, order-spacing %s, result-retention %s",
-			s.ConfigBound, s.DrainBound, s.EndBound, s.Grace, s.MaxAddressTTL, s.OrderSpacing, s.ResultRetention))
-	}
-	if s.RevocationBound < 0 || s.UsageDelay < 0 || s.UsageWindow < 0 {
-		problems = append(problems, classError.New("a duration is negative: revocation-bound %s, usage-delay %s, usage-window %s",
-			s.RevocationBound, s.UsageDelay, s.UsageWindow))
-	}
-	if s.Cores < 0 || s.MaxDescriptors < 0 || s.MemoryBytes < 0 || s.DutyRate < 0 {
-		problems = append(problems, classError.New("a limit of the process is negative: processor %g, max-descriptors %d, memory-bytes %d, duty-rate %g",
-			s.Cores, s.MaxDescriptors, s.MemoryBytes, s.DutyRate))
-	}
+	problems = append(problems, s.negative()...)
 	addresses := map[string]string{
 		"callers": s.CallerAddress, "directory": s.DirectoryAddress, "duties": s.DutyAddress, "metrics": s.MetricsAddress, "peers": s.PeerAddress, "ready": s.ReadyAddress,
 	}
@@ -141,6 +130,35 @@
 	return errors.Join(problems...)
 }
 
+// negative returns an error for each duration and each limit below zero.
+func (s Settings) negative() []error {
+	var problems []error
+	for _, d := range []struct {
+		name  string
+		value time.Duration
+	}{
+		{"config-bound", s.ConfigBound},
+		{"drain-bound", s.DrainBound},
+		{"end-bound", s.EndBound},
+		{"grace", s.Grace},
+		{"max-address-ttl", s.MaxAddressTTL},
+		{"order-spacing", s.OrderSpacing},
+		{"result-retention", s.ResultRetention},
+		{"revocation-bound", s.RevocationBound},
+		{"usage-delay", s.UsageDelay},
+		{"usage-window", s.UsageWindow},
+	} {
+		if d.value < 0 {
+			problems = append(problems, classError.New("a duration is negative: %s %s", d.name, d.value))
+		}
+	}
+	if s.Cores < 0 || s.MaxDescriptors < 0 || s.MemoryBytes < 0 || s.DutyRate < 0 {
+		problems = append(problems, classError.New("a limit of the process is negative: processor %g, max-descriptors %d, memory-bytes %d, duty-rate %g",
+			s.Cores, s.MaxDescriptors, s.MemoryBytes, s.DutyRate))
+	}
+	return problems
+}
+
 // Changed returns the names of the settings in which s and other differ. Changed settings
 // take effect only at the next start.
 func (s Settings) Changed(other Settings) []string {
