Quarantine items that crash their engines

Cause: only single requests asked the quarantine of contents. Change: a run that ends without an event is investigated as single requests are; content under which three engines ended is refused by all hosts, tried once after 5 s, and then waits for the end of its batch. An event or an answer clears it, so the many items that an ending engine breaks off aren't suspected.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -193,9 +193,9 @@
 	}
 	batches := &batch.Store{KV: h.store}
 	h.runner = &batchrun.Runner{
-		Batches: batches, Config: h.config.Load, Inventory: h.inventory, Logger: h.Logger,
-		Generation:    &generation.Client{Dialect: h.Dialect, Logger: h.Logger, Plain: h.Plain},
-		RefreshConfig: h.refreshConfig, Rewards: h.Forwarder,
+		Batches: batches, Config: h.config.Load, CrashDetector: h.crashDetector, Inventory: h.inventory, Logger: h.Logger,
+		Generation: &generation.Client{Dialect: h.Dialect, Logger: h.Logger, Plain: h.Plain},
+		Quarantine: h.poisonRegistry, RefreshConfig: h.refreshConfig, Rewards: h.Forwarder,
 		Self: batch.Owner{Host: h.Settings.ID, Incarnation: incarnation},
 	}
 	h.Batches = &batchrun.Service{
--- /dev/null
+++ b/internal/rollout/batchrun/quarantine_test.go
@@ -0,0 +1,85 @@
+package batchrun_test
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegway/nutmegway/internal/backend/crashdetect"
+	"github.com/nutmegway/nutmegway/internal/backend/plain"
+	"github.com/nutmegway/nutmegway/internal/request/poison"
+	"github.com/nutmegway/nutmegway/internal/rollout/batch"
+	"github.com/nutmegway/nutmegway/internal/rollout/batchrun"
+	"github.com/nutmegway/nutmegway/internal/standin/kvmemory"
+)
+
+// TestItemThatCrashesEnginesIsQuarantined submits two items to six engines, each of which ends
+// when it receives the first item. After three ends the item waits, at most as many runs as
+// were under way by then follow, and the other item completes.
+func TestItemThatCrashesEnginesIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	logger := slog.New(slog.DiscardHandler)
+	var mu sync.Mutex
+	var crashes int
+	engines := make([]*engineServer, 6)
+	for n := range engines {
+		e := newEngine(t)
+		e.handle = func(_ http.ResponseWriter, r *http.Request) bool {
+			if r.Header.Get("X-Request-Id") != "x-i0" {
+				return false
+			}
+			mu.Lock()
+			crashes++
+			mu.Unlock()
+			_ = e.Listener.Close()
+			panic(http.ErrAbortHandler)
+		}
+		engines[n] = e
+	}
+	store := &kvmemory.Store{}
+	registry := &poison.KVRegistry{
+		MayRemove: func(string) bool { return true }, HostCount: func() int { return 1 }, Logger: logger, Store: store,
+	}
+	var detector *crashdetect.Detector
+	h := newHostWith(t, "a", store, func(s *batchrun.Service) {
+		detector = &crashdetect.Detector{Logger: logger, Prober: &plain.Client{}, Servers: s.Runner.Inventory, OnEnded: func(i crashdetect.Incident) {
+			registry.RecordCrash(i.Content, poison.CrashID(i.Server.ID, time.UnixMilli(i.Server.Started)))
+		}}
+		s.Runner.CrashDetector, s.Runner.Quarantine = detector, registry
+	}, engines...)
+	ctx, cancel := context.WithCancel(t.Context())
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return detector.Run(ctx) })
+	defer func() {
+		cancel()
+		is.NoErr(group.Wait())
+	}()
+	b := sampleBatch(2)
+	b.Items[0].Body = []byte("crashes")
+	is.NoErr(h.service.Submit(t.Context(), b))
+	content := poison.RequestFingerprint(http.MethodPost, b.Host, b.Items[0].Target, b.Items[0].Body)
+	for !registry.Refuses(content) {
+		time.Sleep(time.Millisecond)
+	}
+	mu.Lock()
+	atQuarantine := crashes
+	mu.Unlock()
+	is.True(atQuarantine >= poison.DefaultCrashLimit)
+	page, err := h.service.Read(t.Context(), b.ID, 0)
+	for err == nil && len(page.Results) == 0 {
+		page, err = h.service.Read(t.Context(), b.ID, 0)
+	}
+	is.NoErr(err)
+	is.Equal(len(page.Results), 1)
+	is.Equal(page.Results[0].Item, b.Items[1].ID)
+	is.Equal(page.Results[0].State, batch.StateCompleted)
+	mu.Lock()
+	defer mu.Unlock()
+	is.True(crashes <= atQuarantine+1) // One run may have been under way.
+}
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -15,6 +16,7 @@
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
 	"github.com/nutmegway/nutmegway/internal/request/forward"
+	"github.com/nutmegway/nutmegway/internal/request/poison"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
 	"github.com/nutmegway/nutmegway/internal/rollout/placing"
 	"github.com/nutmegway/nutmegway/internal/rollout/reward"
@@ -38,6 +40,8 @@
 	// avoidEngine is the ID of the engine on which a run of the item last
 	// failed, broke off, stalled or was slow.
 	avoidEngine string
+	// content is the fingerprint of the item's request.
+	content uint64
 	// done is set once the item has its result.
 	done bool
 	// events holds the data of the events received so far.
@@ -112,7 +116,9 @@
 	}
 	now := time.Now()
 	for i, item := range b.Items {
-		br.items = append(br.items, &itemState{item: item, readySince: now})
+		br.items = append(br.items, &itemState{
+			content: poison.RequestFingerprint(http.MethodPost, b.Host, item.Target, item.Body), item: item, readySince: now,
+		})
 		br.byID[item.ID] = i
 		br.unfinishedInGroup[item.Group]++
 	}
@@ -171,6 +177,9 @@
 			br.finishDead(s, "too many failed runs")
 			continue
 		}
+		if br.isQuarantined(s) {
+			continue
+		}
 		demand := br.demand(s, route.SingleVersion)
 		engine, ok := placing.Choose(candidates, demand)
 		if !ok {
@@ -235,8 +244,12 @@
 func (br *batchRun) runItem(s *itemState, start runStart) {
 	r, engine := br.runner, start.engine
 	defer br.release(s, engine)
+	if !br.admit(s) {
+		return
+	}
 	began := time.Now()
 	eventsBefore := len(s.events)
+	responded := false
 	tracker := intervalTracker{}
 	outcome, err := r.Generation.Run(br.ctx, generation.Request{
 		Address: engine.Address, Body: s.item.Body, Budget: start.budget, EventTimeout: eventTimeout, FirstEventTimeout: firstEventTimeout,
@@ -246,9 +259,16 @@
 	}, func(load string) {
 		r.Inventory.RecordAnswer(engine.ID, forward.ParseLoad(load))
 	}, func(event generation.Event) error {
+		if !responded {
+			responded = true
+			br.reportResponse(s)
+		}
 		return br.onEvent(s, engine.Server, start.service, &tracker, event)
 	})
 	r.metrics.recordRun(outcome, time.Since(began))
+	if !responded {
+		br.reportRunWithoutEvent(s, engine.Server, outcome, err)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if br.ctx.Err() == nil {
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/nutmegway/nutmegway/internal/backend/crashdetect"
 	"github.com/nutmegway/nutmegway/internal/backend/generation"
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
 	"github.com/nutmegway/nutmegway/internal/base/recovery"
@@ -47,8 +48,11 @@
 type Runner struct {
 	Batches *batch.Store
 	// Config returns the configuration in force; nil if there is none yet.
-	Config     func() *config.Config
-	Generation *generation.Client
+	Config func() *config.Config
+	// CrashDetector checks whether an engine that broke off a run without an event has ended;
+	// nil disables the check.
+	CrashDetector *crashdetect.Detector
+	Generation    *generation.Client
 	// Index holds the newest known heads. A batch whose known head is newer than that of
 	// a handover isn't started.
 	Index     *batch.Index
@@ -57,6 +61,8 @@
 	// OnReleased is called with the head of a batch that this host has released; it may
 	// be nil.
 	OnReleased func(context.Context, batch.Head)
+	// Quarantine admits the contents of items; nil admits all.
+	Quarantine forward.Quarantine
 	// RefreshConfig reads the configuration from the store and puts it in force. Items are
 	// given up by their route only after that. Nil means that Config is always current.
 	RefreshConfig func(context.Context) error
