Reset the connection of an order that was given up

Change: while an order uses a connection, closing it resets it and discards what the engine hasn't acknowledged.

--- a/internal/backend/plain/client.go
+++ b/internal/backend/plain/client.go
@@ -149,7 +149,11 @@
 	}
 	admitted := time.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
-	tracker := &sendTracker{cancel: cancel, beforeSend: func() error { return firstError(permit.Check, request.BeforeSend) }}
+	tracker := &sendTracker{
+		cancel: cancel, beforeSend: func() error { return firstError(permit.Check, request.BeforeSend) },
+		// An order must not arrive after the next one.
+		resetOnClose: request.Purpose == PurposeOrder,
+	}
 	outgoing, err := newRequest(ctx, address, request, tracker)
 	if err != nil {
 		cancel(err)
--- a/internal/backend/plain/conn.go
+++ b/internal/backend/plain/conn.go
@@ -70,6 +70,9 @@
 	reach   *reach.Monitor
 	tracker *connTracker
 
+	// resetOnClose is set while the request that uses the connection must not arrive after
+	// it was given up.
+	resetOnClose atomic.Bool
 	// sealed is set once nothing may be written any more.
 	sealed atomic.Bool
 	mu     sync.Mutex
@@ -82,9 +85,13 @@
 	written int64
 }
 
-// Close closes the connection.
+// Close closes the connection. If resetOnClose is set, the bytes that the peer has not
+// acknowledged are discarded; otherwise the kernel still sends them.
 func (c *trackedConn) Close() error {
 	c.tracker.remove(c)
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.resetOnClose.Load() {
+		_ = tcp.SetLinger(0) // An error means that the connection is closed already.
+	}
 	return c.Conn.Close()
 }
 
@@ -107,6 +114,7 @@
 		return
 	}
 	c.idle = true
+	c.resetOnClose.Store(false)
 	if c.closing {
 		_ = c.Close() // No request uses it.
 	}
@@ -179,6 +187,8 @@
 	cancel context.CancelCauseFunc
 	// beforeSend returns an error if the request must not be sent; nil allows it.
 	beforeSend func() error
+	// resetOnClose has the meaning of [trackedConn].
+	resetOnClose bool
 
 	mu sync.Mutex
 	// conn is the connection that the request was last written to, and writtenBefore the
@@ -198,6 +208,7 @@
 	}
 	if conn, ok := info.Conn.(*trackedConn); ok {
 		s.use = conn.acquire()
+		conn.resetOnClose.Store(s.resetOnClose)
 	}
 	if !s.sent && s.beforeSend != nil {
 		if err := s.beforeSend(); err != nil {
