Report the end of a server once, also if requests notice it late

Cause: an incident was known only while it was investigated. If a refused connection ended that before the next request reported the same start of the server, it was investigated and reported again. Change: the detector remembers what it reported for 30 s.

--- a/internal/backend/crashdetect/crashdetect.go
+++ b/internal/backend/crashdetect/crashdetect.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
@@ -30,6 +31,9 @@
 	// accepts connections. If the process has ended and restarted at once, its new entry
 	// reaches the hosts within this time.
 	restartWindow = time.Second
+	// reportMemory is how long a reported instance is remembered. Requests that the server
+	// left unanswered time out within it.
+	reportMemory = 30 * time.Second
 	// entryPollInterval is the time between two reads of the server's entry.
 	entryPollInterval = 100 * time.Millisecond
 	// An address is probed up to probeCount times, probeInterval apart, since the
@@ -107,12 +111,15 @@
 
 	mu   sync.Mutex
 	open map[instanceKey]struct{}
+	// reported holds when each instance was reported. It keeps a start of a server from being
+	// reported again by requests that notice its end later.
+	reported map[instanceKey]time.Time
 }
 
 func (d *Detector) init() {
 	d.once.Do(func() {
 		d.queue = make(chan Incident, maxIncidents)
-		d.open = make(map[instanceKey]struct{})
+		d.open, d.reported = make(map[instanceKey]struct{}), make(map[instanceKey]time.Time)
 		ended, err := otel.Meter("nutmegway/ending").Int64Counter("nutmegway.ending.servers",
 			metric.WithDescription("Backend servers that ended under a request, by evidence."))
 		if err != nil {
@@ -123,11 +130,12 @@
 }
 
 // Submit opens an incident and never blocks. It drops the incident if maxIncidents are open,
-// or if one with the same instanceKey is already open.
+// or if one with the same instanceKey is open or was reported within reportMemory.
 func (d *Detector) Submit(incident Incident) {
 	d.init()
 	d.mu.Lock()
 	_, known := d.open[incident.instance()]
+	known = known || d.isReported(incident.instance())
 	full := len(d.open) >= maxIncidents
 	if !known && !full {
 		d.open[incident.instance()] = struct{}{}
@@ -144,6 +152,14 @@
 	}
 }
 
+// isReported reports whether the instance was reported within reportMemory, and forgets older
+// reports. The caller holds d.mu.
+func (d *Detector) isReported(instance instanceKey) bool {
+	maps.DeleteFunc(d.reported, func(_ instanceKey, at time.Time) bool { return time.Since(at) > reportMemory })
+	_, reported := d.reported[instance]
+	return reported
+}
+
 // Run investigates incidents until ctx ends.
 func (d *Detector) Run(ctx context.Context) error {
 	d.init()
@@ -176,6 +192,9 @@
 	if found == "" {
 		return
 	}
+	d.mu.Lock()
+	d.reported[incident.instance()] = time.Now()
+	d.mu.Unlock()
 	d.Logger.LogAttrs(ctx, slog.LevelWarn, "server ended while it held a request", slog.String("server", incident.Server.ID),
 		slog.String("service", incident.Server.Service), slog.String("request-id", incident.RequestID), slog.Uint64("content", incident.Content),
 		slog.String("evidence", string(found)), slog.Duration("after", time.Since(start)))
