Let a mirror wait until the host list is delivered

Cause: the first list counted as there once the copy held it, before OnChange had received it, so a mirror that waited for the host list could find no hosts and list the servers itself: one call of the store more for a starting host. Change: the channel is closed after OnChange.

--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -148,7 +148,7 @@
 	mu sync.Mutex
 	// changed is closed and reset at each change. It is nil without waiters.
 	changed chan struct{}
-	// listed is closed once the copy holds a first list.
+	// listed is closed once OnChange has received the first list.
 	listed chan struct{}
 	// confirmation tells when the store itself last answered.
 	confirmation confirmation
@@ -236,8 +236,8 @@
 	}
 }
 
-// firstListed returns a channel that is closed once the copy holds a first list.
-// It locks m.mu.
+// firstListed returns a channel that is closed once OnChange has received the first list. It
+// locks m.mu.
 func (m *Mirror) firstListed() <-chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -491,7 +491,11 @@
 	if m.OnChange != nil && (len(events) > 0 || outage > 0) {
 		m.OnChange(Change{Events: events, Outage: outage})
 	}
-	m.delivered.Store(true)
+	if m.delivered.CompareAndSwap(false, true) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		close(m.listedChannel())
+	}
 }
 
 // Delivered reports whether OnChange has received the first list. An empty list counts,
@@ -503,7 +507,6 @@
 	if m.entries == nil {
 		m.entries = make(map[string]kv.Entry)
 		m.recentFrom = revision
-		close(m.listedChannel())
 	}
 	for _, event := range events {
 		if event.Delete {
