Authenticate client accounts and let revoked keys fail closed

Cause: no key was known. Change: internal/request/account decides on the digest of a key and the age of the copy, when a request arrives and right before it is sent; the age is counted from when the answered call was sent, on the clock of the machine, and followers add that of their reader. Batches belong to accounts. Requests that are handed on carry a grant, and hosts that don't read it get none. Headers that we set can't be removed by a Connection header any more.

--- a/internal/backend/dialect/dialect.go
+++ b/internal/backend/dialect/dialect.go
@@ -11,9 +11,13 @@
 // Dialect holds header names. An empty name means that the servers don't support the
 // header.
 type Dialect struct {
+	// Account is the request header with the name of the client account.
+	Account string
 	// BudgetMillis is the request header with the time that the caller still waits, in
 	// milliseconds.
 	BudgetMillis string
+	// Credential is the header in which callers send their API key. Servers don't get it.
+	Credential string
 	// ExpectServer is the request header with the id of the only server that may run the
 	// request.
 	ExpectServer string
--- a/internal/backend/generation/generation.go
+++ b/internal/backend/generation/generation.go
@@ -50,6 +50,8 @@
 
 // Request describes one run of an item.
 type Request struct {
+	// Account is the client account of the caller; empty if there is none.
+	Account string
 	Address string
 	Body    []byte
 	// Budget is how long the caller still waits for the result; zero if unknown. It is
@@ -212,6 +214,11 @@
 	for name, value := range r.Header {
 		header.Set(name, value)
 	}
+	// A caller must not have headers removed that are set here.
+	plain.RemoveHopByHop(header)
+	if r.Account != "" {
+		header.Set(c.Dialect.Account, r.Account)
+	}
 	header.Set(c.Dialect.ExpectServer, r.Server)
 	if r.Budget > 0 {
 		header.Set(c.Dialect.BudgetMillis, strconv.FormatInt(r.Budget.Milliseconds(), 10))
--- a/internal/backend/plain/client.go
+++ b/internal/backend/plain/client.go
@@ -170,7 +170,7 @@
 		return nil, kind.New(kind.OutcomeUnknown, "server answered request %q with the id of another request", request.RequestID)
 	}
 	c.Observe(address, request.Server, response, admitted)
-	removeHopByHop(response.Header)
+	RemoveHopByHop(response.Header)
 	return response, nil
 }
 
@@ -267,7 +267,7 @@
 	if outgoing.Header == nil {
 		outgoing.Header = make(http.Header)
 	}
-	removeHopByHop(outgoing.Header)
+	RemoveHopByHop(outgoing.Header)
 	outgoing.Host = request.Host
 	// The body is sent at once, without waiting for a 100 Continue response.
 	outgoing.Header.Del("Expect")
--- a/internal/backend/plain/header.go
+++ b/internal/backend/plain/header.go
@@ -19,9 +19,9 @@
 	"Upgrade",
 }
 
-// removeHopByHop removes the hop-by-hop headers, including those that the Connection header
+// RemoveHopByHop removes the hop-by-hop headers, including those that the Connection header
 // lists.
-func removeHopByHop(header http.Header) {
+func RemoveHopByHop(header http.Header) {
 	for _, value := range header["Connection"] {
 		for name := range strings.SplitSeq(value, ",") {
 			header.Del(textproto.TrimString(name))
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -32,6 +32,7 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/fleet/roster"
 	"github.com/nutmegway/nutmegway/internal/fleet/software"
+	"github.com/nutmegway/nutmegway/internal/request/account"
 	"github.com/nutmegway/nutmegway/internal/request/forward"
 	"github.com/nutmegway/nutmegway/internal/request/forwardlink"
 	"github.com/nutmegway/nutmegway/internal/request/origin"
@@ -112,6 +113,7 @@
 	Batches   *batchrun.Service
 	Forwarder *forward.Forwarder
 
+	accounts       *account.Gate
 	config         atomic.Pointer[config.Config]
 	poisonRegistry *poison.KVRegistry
 	drain          chan struct{}
@@ -138,7 +140,9 @@
 	roster           *roster.Roster
 	runner           *batchrun.Runner
 	inventoryUpdater *inventoryUpdater
-	// serverMirror exists from SetUp on, since readiness depends on it.
+	// operatorMirror and serverMirror exist from SetUp on, since authentication and readiness
+	// depend on them.
+	operatorMirror  *mirror.Mirror
 	serverMirror    *mirror.Mirror
 	softwareHistory *software.History
 	// store is relayStore, or DirectStore without a peer address.
@@ -148,8 +152,7 @@
 // SetUp creates the components of the host. It must be called before Run.
 func (h *Host) SetUp() {
 	incarnation := uuid.NewString()
-	h.drain = make(chan struct{})
-	h.stopTime = &stopTime{reached: make(chan struct{})}
+	h.drain, h.stopTime = make(chan struct{}), &stopTime{reached: make(chan struct{})}
 	h.inventory = &inventory.Inventory{DrainBound: h.Settings.DrainBound}
 	h.peers = &peer.Pool{Options: peer.LocalDialOptions()}
 	h.store = h.DirectStore
@@ -217,6 +220,7 @@
 	}
 	h.retirements = retirementResponder{IsResponsible: h.isResponsible, Decoder: h.Decoder, Logger: h.Logger, Store: h.store, wake: make(chan struct{}, 1)}
 	h.serverMirror = new(mirror.Mirror)
+	h.setUpAccounts()
 }
 
 // Run serves until Drain is called or ctx ends.
@@ -323,12 +327,16 @@
 	servers := h.serverMirror
 	servers.HostsMirror, servers.Prefix, servers.OnChange = h.liveMirror, prefixes.Servers, h.inventoryUpdater.apply
 	servers.CoalesceDelay = h.Settings.coalesceDelay()
-	operators := &mirror.Mirror{HostsMirror: h.liveMirror, OnChange: h.applyOperatorChange, Prefix: prefixes.Operators}
+	operators := h.operatorMirror
+	operators.HostsMirror, operators.OnChange, operators.Prefix = h.liveMirror, h.applyOperatorChange, prefixes.Operators
 	for m, bound := range map[*mirror.Mirror]time.Duration{
 		operators: h.Settings.configBound(), servers: h.Settings.drainBound(), h.liveMirror: min(h.Settings.drainBound(), h.Settings.endBound()),
 	} {
 		m.MaxAge, m.WatchTimeout = share(maxAgeShare, bound), share(watchShare, bound)
 	}
+	if bound := h.Settings.RevocationBound; bound > 0 {
+		operators.WatchTimeout = min(operators.WatchTimeout, share(keyWatchShare, bound))
+	}
 	mirrors := []*mirror.Mirror{operators, servers, h.liveMirror}
 	compaction := new(mirror.CompactionSignal)
 	// One source for all mirrors: a reader that fails one of them is left by the others too.
@@ -336,6 +344,9 @@
 		Bound: min(h.Settings.configBound(), h.Settings.drainBound(), h.Settings.endBound()),
 		Pool:  h.peers, Roster: h.roster, Self: h.Settings.ID,
 	}
+	if bound := h.Settings.RevocationBound; bound > 0 {
+		source.MaxWait = map[string]time.Duration{prefixes.Operators: share(keyPollShare, bound)}
+	}
 	for _, m := range mirrors {
 		m.Compaction, m.Logger, m.Store = compaction, h.Logger, h.store
 		if h.Settings.PeerAddress != "" {
@@ -403,6 +414,7 @@
 	if !ok {
 		return
 	}
+	c.IndexAccounts()
 	for {
 		current := h.config.Load()
 		if current != nil && current.Version >= c.Version {
@@ -413,7 +425,7 @@
 		}
 	}
 	h.Logger.Info("configuration in force", slog.Int64("version", c.Version), slog.Int64("revision", revision),
-		slog.Int("routes", len(c.Routes)), slog.Int("services", len(c.Services)))
+		slog.Int("routes", len(c.Routes)), slog.Int("services", len(c.Services)), slog.Int("accounts", len(c.Accounts)))
 }
 
 // refreshConfig reads the configuration from the store and puts it in force if it is newer.
@@ -438,14 +450,6 @@
 	return c, nil
 }
 
-// Submit accepts a batch, or returns an error of kind leaving while the host leaves.
-func (h *Host) Submit(ctx context.Context, b batch.Batch) error {
-	if h.leaving.Load() {
-		return kind.New(kind.Leaving, "the host is leaving").WithRetryAfter(notReadyRetryAfter)
-	}
-	return h.Batches.Submit(ctx, b)
-}
-
 // Ready reports whether the host accepts new requests: it has a configuration and the list
 // of backend servers, and is not leaving.
 func (h *Host) Ready() bool {
@@ -459,8 +463,10 @@
 		return nil, 0, kind.New(kind.Unavailable, "no configuration has been read yet").WithRetryAfter(notReadyRetryAfter)
 	}
 	var addresses []string
-	for _, host := range h.roster.Hosts() {
-		if host.Address != "" {
+	hosts := h.roster.Hosts()
+	withSelf := len(hosts) == 1 || h.servesAccounts()
+	for _, host := range hosts {
+		if host.Address != "" && (withSelf || host.ID != h.Settings.ID) {
 			addresses = append(addresses, host.Address)
 		}
 	}
--- a/internal/entry/host/isolation.go
+++ b/internal/entry/host/isolation.go
@@ -107,6 +107,12 @@
 	if !ok || route.Repeat == config.RepeatBatch {
 		return kind.New(kind.NotFound, "no route of single requests for host %q and path %q", request.Host, target.Path)
 	}
+	if request.Grant, err = h.adoptGrant(c, route, request); err != nil {
+		return err
+	}
+	if request.Grant != nil {
+		route.Priority = c.PriorityOf(route, request.Grant.Account)
+	}
 	return h.Forwarder.Serve(ctx, w, request, route)
 }
 
--- a/internal/fleet/config/config.go
+++ b/internal/fleet/config/config.go
@@ -90,14 +90,6 @@
 	ZonePrices map[string]float64
 }
 
-// Account is a client account. Its requests carry one of its keys.
-type Account struct {
-	Keys []string
-	Name string
-	// Priority, if not nil, goes before the priority of the route.
-	Priority *int
-}
-
 // Limits are the limits on callers' requests and connections.
 type Limits struct {
 	BodyBytes     int64
@@ -115,6 +107,10 @@
 	Services map[string]Service
 	// Version increases with each change, not always by one.
 	Version int64
+
+	// byKey and byName hold indexes of Accounts.
+	byKey  map[Digest]int
+	byName map[string]int
 }
 
 // Match returns the route for host with the longest prefix that matches path.
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -11,6 +11,7 @@
 
 	"github.com/zeebo/errs"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/nutmegway/nutmegway/internal/base/rendezvous"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
@@ -58,9 +59,11 @@
 type Source struct {
 	// Bound is the time within which this host has to know a change, even if the reader
 	// that it asks stops answering. Zero means two seconds.
-	Bound  time.Duration
-	Pool   *peer.Pool
-	Roster *roster.Roster
+	Bound time.Duration
+	// MaxWait bounds the time for which one call waits for a change, by prefix.
+	MaxWait map[string]time.Duration
+	Pool    *peer.Pool
+	Roster  *roster.Roster
 	// Self is the id of this host.
 	Self string
 
@@ -95,6 +98,9 @@
 func (s *Source) poll(ctx context.Context, address, prefix string, revision int64) (mirror.Update, error) {
 	bound := cmp.Or(s.Bound, defaultBound)
 	wait := min(time.Duration(pollWaitShare*float64(bound)), maxPollWait)
+	if limit, ok := s.MaxWait[prefix]; ok {
+		wait = min(wait, limit)
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait+time.Duration(networkShare*float64(bound)))
 	defer cancel()
 	var reply *followpb.NextReply
@@ -111,7 +117,10 @@
 	if reply.GetBehind() {
 		return mirror.Update{}, classError.New("host at %s cannot serve %s after revision %d: its copy is stale, behind or missing", address, prefix, revision)
 	}
-	update := mirror.Update{Reset: reply.GetWhole(), Revision: reply.GetRevision()}
+	update := mirror.Update{
+		Age: time.Duration(reply.GetAgeMicros()) * time.Microsecond, AgeKnown: reply.AgeMicros != nil,
+		Reset: reply.GetWhole(), Revision: reply.GetRevision(),
+	}
 	for _, e := range reply.GetEvents() {
 		update.Events = append(update.Events, kv.Event{Delete: e.GetDelete(), Entry: kv.Entry{
 			CreateRevision: e.GetCreateRevision(), Key: e.GetKey(), Lease: kv.LeaseID(e.GetLease()),
@@ -149,6 +158,10 @@
 	defer cancel()
 	update, ok := m.Since(ctx, r.GetRevision())
 	reply := &followpb.NextReply{Behind: !ok, Revision: update.Revision, Whole: update.Reset}
+	if update.AgeKnown {
+		// Rounded up, so that the state never seems younger than it is.
+		reply.AgeMicros = proto.Int64(update.Age.Microseconds() + 1)
+	}
 	for _, e := range update.Events {
 		reply.Events = append(reply.Events, &followpb.Event{
 			CreateRevision: e.Entry.CreateRevision, Delete: e.Delete, Key: e.Entry.Key, Lease: int64(e.Entry.Lease),
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/nutmegway/nutmegway/internal/base/boottime"
 	"github.com/nutmegway/nutmegway/internal/base/elapsed"
 	"github.com/nutmegway/nutmegway/internal/base/wait"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
@@ -88,6 +89,10 @@
 
 // Update brings a copy of a prefix from one revision to a later one.
 type Update struct {
+	// Age is at most how old the state at Revision was when the update was made: the time since
+	// the call was sent that the store answered with it. AgeKnown is false if that isn't known.
+	Age      time.Duration
+	AgeKnown bool
 	// Events lead from the requested revision to Revision.
 	Events []kv.Event
 	// Reset reports that Events are a snapshot of all existing keys, because the
@@ -126,6 +131,8 @@
 	// MaxAge is the age up to which hosts that follow this one may rely on the copy: the
 	// time since the store last answered. Zero means DefaultMaxAge.
 	MaxAge time.Duration
+	// Now is the clock for the age of the copy; nil means boottime.Now.
+	Now    func() boottime.Instant
 	Prefix string
 	// SettleDelay is the pause before the first list if StaleLister returns no
 	// revision, as when a whole fleet starts. It gives the other hosts time to be
@@ -144,8 +151,14 @@
 
 	// delivered is set once OnChange has received the first list.
 	delivered atomic.Bool
+	// deliveredAsOf is the instant, as a boottime.Instant, of which OnChange has received the
+	// state; zero if none is known.
+	deliveredAsOf atomic.Int64
 
 	mu sync.Mutex
+	// asOf is the instant of which the copy holds the state: when the call was sent that the
+	// store answered with it. Zero means that it isn't known.
+	asOf boottime.Instant
 	// changed is closed and reset at each change. It is nil without waiters.
 	changed chan struct{}
 	// listed is closed once the copy holds a first list.
@@ -213,7 +226,7 @@
 		m.awaitHostList(ctx)
 		return nil
 	}
-	m.apply(m.diff(entries), revision, 0)
+	m.apply(m.diff(entries), revision, 0, 0)
 	watcher, err := m.Store.Watch(ctx, m.Prefix, revision)
 	if err != nil {
 		m.Logger.LogAttrs(ctx, slog.LevelInfo, "stale list not watched", slog.String("prefix", m.Prefix), slog.Any("error", err))
@@ -261,19 +274,20 @@
 		// The watch continues from the revision of the other host.
 		return m.Store.Watch(ctx, m.Prefix, m.currentRevision())
 	}
+	sent := m.now()
 	if watcher == nil {
 		entries, revision, err := m.Store.List(ctx, m.Prefix)
 		if err != nil {
 			return nil, err
 		}
-		m.confirm(m.diff(entries), revision, outageDuration(lostSince), m.delayOf(began))
+		m.confirm(m.diff(entries), revision, outageDuration(lostSince), m.delayOf(began), sent)
 		return m.Store.Watch(ctx, m.Prefix, revision)
 	}
 	batch, err := m.nextBatch(ctx, watcher, compacted)
 	if err != nil {
 		return nil, err
 	}
-	m.confirm(batch.Events, batch.Revision, outageDuration(lostSince), m.delayOf(began))
+	m.confirm(batch.Events, batch.Revision, outageDuration(lostSince), m.delayOf(began), sent)
 	if len(batch.Events) > 0 && m.CoalesceDelay > 0 {
 		wait.For(ctx, m.CoalesceDelay)
 	}
@@ -286,6 +300,7 @@
 	if m.Source == nil {
 		return false
 	}
+	sent := m.now()
 	update, ok, err := m.Source.Follow(ctx, m.Prefix, m.currentRevision())
 	if !ok {
 		return false
@@ -304,7 +319,12 @@
 		}
 		events = m.diff(entries)
 	}
-	m.apply(events, update.Revision, outageDuration(lostSince))
+	var asOf boottime.Instant
+	if update.AgeKnown {
+		// The other host made the update after it was asked.
+		asOf = sent.Add(-update.Age)
+	}
+	m.apply(events, update.Revision, outageDuration(lostSince), asOf)
 	if len(events) > 0 && m.CoalesceDelay > 0 {
 		wait.For(ctx, m.CoalesceDelay)
 	}
@@ -366,6 +386,9 @@
 // longer kept, and reports whether there are any. m.mu is held.
 func (m *Mirror) updateSince(revision int64) (Update, bool) {
 	update := Update{Revision: m.revision}
+	if m.asOf != 0 {
+		update.Age, update.AgeKnown = m.now().Sub(m.asOf), true
+	}
 	if revision == 0 || revision < m.recentFrom {
 		update.Reset = true
 		for _, key := range slices.Sorted(maps.Keys(m.entries)) {
@@ -442,12 +465,14 @@
 	return events
 }
 
-// apply applies events that did not come from the store itself.
-func (m *Mirror) apply(events []kv.Event, revision int64, outage time.Duration) {
+// apply applies events that did not come from the store itself. asOf is the instant of which
+// they complete the state, or zero.
+func (m *Mirror) apply(events []kv.Event, revision int64, outage time.Duration, asOf boottime.Instant) {
 	m.mu.Lock()
 	m.merge(events, revision)
+	m.asOf = max(m.asOf, asOf)
 	m.mu.Unlock()
-	m.notify(events, outage)
+	m.notify(events, outage, asOf)
 }
 
 // confirmation tells when the store itself last answered. Times include those during which
@@ -472,10 +497,11 @@
 }
 
 // confirm applies events from the store itself and records the time of its answer, which
-// was read after delay.
-func (m *Mirror) confirm(events []kv.Event, revision int64, outage, delay time.Duration) {
+// was read after delay. sent is when the call was made.
+func (m *Mirror) confirm(events []kv.Event, revision int64, outage, delay time.Duration, sent boottime.Instant) {
 	m.mu.Lock()
 	m.merge(events, revision)
+	m.asOf = max(m.asOf, sent)
 	if !m.confirmation.known && m.changed != nil {
 		// The first answer wakes all waiters, even if it has no events.
 		close(m.changed)
@@ -483,17 +509,30 @@
 	}
 	m.confirmation = confirmation{at: elapsed.Now(nil), delay: delay, known: true}
 	m.mu.Unlock()
-	m.notify(events, outage)
+	m.notify(events, outage, sent)
 }
 
-// notify calls OnChange if there are events or an outage has ended.
-func (m *Mirror) notify(events []kv.Event, outage time.Duration) {
+// notify calls OnChange if there are events or an outage has ended. After that, OnChange has
+// received the state of the instant asOf, if it isn't zero.
+func (m *Mirror) notify(events []kv.Event, outage time.Duration, asOf boottime.Instant) {
 	if m.OnChange != nil && (len(events) > 0 || outage > 0) {
 		m.OnChange(Change{Events: events, Outage: outage})
 	}
+	m.deliveredAsOf.Store(max(m.deliveredAsOf.Load(), int64(asOf)))
 	m.delivered.Store(true)
 }
 
+// DeliveredAge returns at most how old the state is that OnChange has received: the time since
+// the call was sent that the store answered with it, on this host or on the one that this host
+// follows. It returns false if that isn't known.
+func (m *Mirror) DeliveredAge() (time.Duration, bool) {
+	asOf := m.deliveredAsOf.Load()
+	if asOf == 0 {
+		return 0, false
+	}
+	return m.now().Sub(boottime.Instant(asOf)), true
+}
+
 // Delivered reports whether OnChange has received the first list. An empty list counts,
 // although OnChange is not called for it.
 func (m *Mirror) Delivered() bool { return m.delivered.Load() }
@@ -528,6 +567,13 @@
 	}
 }
 
+func (m *Mirror) now() boottime.Instant {
+	if m.Now != nil {
+		return m.Now()
+	}
+	return boottime.Now()
+}
+
 // Entry returns the entry of key and reports whether the copy holds one.
 func (m *Mirror) Entry(key string) (kv.Entry, bool) {
 	m.mu.Lock()
--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -26,8 +26,10 @@
 	attempts attempts
 	content  uint64
 	deadline time.Time
-	group    *errgroup.Group
-	request  Request
+	// refused is set once the request must not be sent to a server any more.
+	refused error
+	group   *errgroup.Group
+	request Request
 	// resumed is where the stream that the request resumes began; nil if it resumes none.
 	resumed *origin.Origin
 	service string
@@ -167,7 +169,16 @@
 	if ctx.Err() != nil {
 		return answer{}, x.contextError(ctx)
 	}
-	return answer{}, x.attempts.failure()
+	return answer{}, x.failure()
+}
+
+// failure returns the error of a request that no server has answered and that can't be sent to
+// another one.
+func (x *exchange) failure() error {
+	if x.refused != nil && x.attempts.mayHaveRun == 0 {
+		return x.refused
+	}
+	return x.attempts.failure()
 }
 
 // latestFailure returns the later of two failures that a caller may get, and closes the other.
@@ -223,6 +234,9 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if x.refused = x.request.Grant.Check(); x.refused != nil {
+		return
+	}
 	isolated := x.isIsolated()
 	if isolated && x.mayRelay() {
 		x.startRelay(ctx)
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -25,6 +25,7 @@
 	"github.com/nutmegway/nutmegway/internal/backend/plain"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
+	"github.com/nutmegway/nutmegway/internal/request/account"
 	"github.com/nutmegway/nutmegway/internal/request/origin"
 	"github.com/nutmegway/nutmegway/internal/request/poison"
 )
@@ -49,6 +50,8 @@
 	Body    []byte
 	// Budget is how long the caller waits, counted from Arrived; zero means defaultBudget.
 	Budget time.Duration
+	// Grant is the permission to serve the request of a client account; nil if it needs none.
+	Grant  *account.Grant
 	Header http.Header
 	Host   string
 	ID     string
@@ -259,18 +262,28 @@
 	f.Inventory.RequestStarted(candidate.ID)
 	defer f.Inventory.RequestFinished(candidate.ID)
 	header := request.Header.Clone()
+	// A caller must not have headers removed that are set here.
+	plain.RemoveHopByHop(header)
+	if request.Grant != nil {
+		header.Set(f.Dialect.Account, request.Grant.Account)
+	}
 	header.Set(f.Dialect.BudgetMillis, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
 	header.Set(f.Dialect.ExpectServer, candidate.ID)
 	response, err := f.Client.Do(ctx, candidate.Address, plain.Request{
 		Body: bytes.NewReader(request.Body), Header: header, Host: request.Host, Length: int64(len(request.Body)),
-		BeforeSend: func() error { return f.Inventory.CheckAvailable(candidate.ID) },
-		Method:     request.Method, AtMostOnce: atMostOnce, Purpose: plain.PurposeSingle, RequestID: request.ID, Server: candidate.ID, Target: request.Target,
+		BeforeSend: func() error {
+			if err := f.Inventory.CheckAvailable(candidate.ID); err != nil {
+				return err
+			}
+			return request.Grant.Check()
+		},
+		Method: request.Method, AtMostOnce: atMostOnce, Purpose: plain.PurposeSingle, RequestID: request.ID, Server: candidate.ID, Target: request.Target,
 	})
 	if err != nil {
 		switch {
 		case errors.Is(err, plain.ErrNotAdmitted):
 			f.Inventory.BackOff(candidate.ID, kind.Of(err).RetryAfter)
-		case ctx.Err() == nil:
+		case ctx.Err() == nil && request.Grant.Check() == nil:
 			f.Inventory.RecordFailure(candidate.ID)
 		}
 		return answer{server: candidate.Server, err: err, ran: kind.Of(err).Ran}
--- a/internal/request/forwardlink/client.go
+++ b/internal/request/forwardlink/client.go
@@ -44,7 +44,7 @@
 ) (response *http.Response, server string, err error) {
 	var refusals []error
 	for _, host := range c.choose() {
-		call, err := c.offer(ctx, host, request.ID)
+		call, err := c.offer(ctx, host, request)
 		if err != nil {
 			refusals = append(refusals, err)
 			c.Logger.LogAttrs(ctx, slog.LevelInfo, "request not accepted by another host", slog.String("request-id", request.ID),
@@ -124,18 +124,22 @@
 
 // offer offers a request to a host and waits for the verdict. After an error the request has
 // not been sent.
-func (c *Client) offer(ctx context.Context, host roster.Host, requestID string) (*call, error) {
+func (c *Client) offer(ctx context.Context, host roster.Host, request forward.Request) (*call, error) {
 	link, err := c.Links.Acquire(host.PeerAddress)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(offerTimeout, func() { cancel(errOfferTimeout) })
-	stream, verdict, err := offerOn(ctx, link, requestID, c.ConfigVersion())
+	stream, verdict, err := offerOn(ctx, link, request.ID, c.ConfigVersion())
 	// If the timer has fired, the context has ended and the call can't be used.
 	if !timer.Stop() && err == nil {
 		err = errOfferTimeout
 	}
+	if err == nil && verdict.GetAccepted() && request.Grant != nil && !verdict.GetReadsGrants() {
+		// A host of an earlier version would not name the account to servers.
+		verdict = &forwardlinkpb.Verdict{Reason: "the host knows no client accounts"}
+	}
 	if err == nil && verdict.GetAccepted() {
 		var once sync.Once
 		return &call{ctx: ctx, stream: stream, end: func() {
@@ -178,6 +182,12 @@
 		Body: request.Body, BudgetMicros: max(time.Until(deadline).Microseconds(), 1), Headers: encodeHeader(request.Header), Host: []byte(request.Host),
 		MaxAttempts: int32(min(maxAttempts, maxAttemptsOnWire)), Method: request.Method, Target: []byte(request.Target),
 	}}}
+	if request.Grant != nil {
+		if err := request.Grant.Check(); err != nil {
+			return nil, "", err
+		}
+		part.GetRequest().Grant = encodeGrant(request.Grant)
+	}
 	for id, started := range request.Leaving {
 		leaving := &forwardlinkpb.LeavingServer{Id: id, StartedMillis: started}
 		part.GetRequest().Leaving = append(part.GetRequest().Leaving, leaving)
--- a/internal/request/forwardlink/forwardlink.go
+++ b/internal/request/forwardlink/forwardlink.go
@@ -12,7 +12,11 @@
 	"time"
 
 	"github.com/zeebo/errs"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/nutmegway/nutmegway/internal/base/boottime"
+	"github.com/nutmegway/nutmegway/internal/fleet/config"
+	"github.com/nutmegway/nutmegway/internal/request/account"
 	"github.com/nutmegway/nutmegway/internal/request/forwardlink/forwardlinkpb"
 )
 
@@ -57,3 +61,24 @@
 	}
 	return header
 }
+
+func encodeGrant(grant *account.Grant) *forwardlinkpb.Grant {
+	encoded := &forwardlinkpb.Grant{Account: grant.Account, KeyDigest: grant.Key[:]}
+	if left, ok := grant.Left(); ok {
+		encoded.ValidMicros = proto.Int64(left.Microseconds())
+	}
+	return encoded
+}
+
+// decodeGrant returns the grant of a request that was accepted at accepted. It returns nil if
+// there is none or it is malformed.
+func decodeGrant(encoded *forwardlinkpb.Grant, accepted boottime.Instant) *account.Grant {
+	if encoded == nil || len(encoded.GetKeyDigest()) != len(config.Digest{}) {
+		return nil
+	}
+	grant := &account.Grant{Account: encoded.GetAccount(), Key: config.Digest(encoded.GetKeyDigest())}
+	if encoded.ValidMicros != nil {
+		grant.Expires = accepted.Add(time.Duration(encoded.GetValidMicros()) * time.Microsecond)
+	}
+	return grant
+}
--- a/internal/request/forwardlink/server.go
+++ b/internal/request/forwardlink/server.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/nutmegway/nutmegway/internal/base/boottime"
 	"github.com/nutmegway/nutmegway/internal/base/elapsed"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/request/forward"
@@ -104,8 +105,8 @@
 			slog.String("request-id", offer.GetRequestId()), slog.Any("error", err))
 		return sendVerdict(stream, &forwardlinkpb.Verdict{Reason: err.Error()})
 	}
-	accepted, acceptedAt := elapsed.Now(nil), time.Now()
-	if err := sendVerdict(stream, &forwardlinkpb.Verdict{Accepted: true}); err != nil {
+	accepted, acceptedAt, acceptedInstant := elapsed.Now(nil), time.Now(), boottime.Now()
+	if err := sendVerdict(stream, &forwardlinkpb.Verdict{Accepted: true, ReadsGrants: true}); err != nil {
 		return err
 	}
 	part, err = stream.Recv()
@@ -122,7 +123,7 @@
 	} else {
 		err = s.serve(stream.Context(), w, forward.Request{
 			Arrived: acceptedAt, Body: request.GetBody(), Budget: time.Duration(request.GetBudgetMicros()) * time.Microsecond,
-			Header: decodeHeader(request.GetHeaders()), Host: string(request.GetHost()), ID: offer.GetRequestId(),
+			Grant: decodeGrant(request.GetGrant(), acceptedInstant), Header: decodeHeader(request.GetHeaders()), Host: string(request.GetHost()), ID: offer.GetRequestId(),
 			Leaving: decodeLeaving(request.GetLeaving()), Method: request.GetMethod(), Relayed: true, MaxAttempts: int(request.GetMaxAttempts()), Target: string(request.GetTarget()),
 		})
 	}
--- a/internal/rollout/batch/batch.go
+++ b/internal/rollout/batch/batch.go
@@ -51,6 +51,8 @@
 
 // Batch is the set of items that a trainer submits for one training step.
 type Batch struct {
+	// Account is the client account that submitted the batch; empty if it needed none.
+	Account string `json:"account,omitempty"`
 	// ConfigVersion is the version of the configuration under which the batch was accepted.
 	// Only this one or a later one decides on its items. Zero means unknown.
 	ConfigVersion int64 `json:"config-version,omitempty"`
@@ -90,6 +92,8 @@
 
 // Head is the mutable part of a batch.
 type Head struct {
+	// Account is that of the batch.
+	Account string `json:"account,omitempty"`
 	// Done is set once the results of all items are stored.
 	Done bool `json:"done"`
 	// Ended is set when the trainer has ended the batch and wants no more
--- a/internal/rollout/batch/store.go
+++ b/internal/rollout/batch/store.go
@@ -84,7 +84,7 @@
 		return Head{}, false, kind.New(kind.TooLarge, "batch %s is too large: %d bytes, at most %d", b.ID, len(encoded), maxPieces*maxPieceBytes)
 	}
 	head := Head{
-		ID: b.ID, Owner: owner, Pieces: len(pieces), SubmittedMillis: s.now().UnixMilli(), Total: len(b.Items),
+		Account: b.Account, ID: b.ID, Owner: owner, Pieces: len(pieces), SubmittedMillis: s.now().UnixMilli(), Total: len(b.Items),
 	}
 	value, err := json.Marshal(head)
 	if err != nil {
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -239,7 +239,7 @@
 	eventsBefore := len(s.events)
 	tracker := intervalTracker{}
 	outcome, err := r.Generation.Run(br.ctx, generation.Request{
-		Address: engine.Address, Body: s.item.Body, Budget: start.budget, EventTimeout: eventTimeout, FirstEventTimeout: firstEventTimeout,
+		Account: br.batch.Account, Address: engine.Address, Body: s.item.Body, Budget: start.budget, EventTimeout: eventTimeout, FirstEventTimeout: firstEventTimeout,
 		BeforeSend: func() error { return r.Inventory.CheckAvailable(engine.ID) },
 		Header:     s.item.Header, Host: br.batch.Host, ID: s.item.ID, MaxTokens: s.item.Tokens, ResumeAfter: s.lastEventID, Server: engine.ID,
 		Target: s.item.Target,
--- a/internal/rollout/batchrun/service.go
+++ b/internal/rollout/batchrun/service.go
@@ -83,8 +83,8 @@
 // Submitting it again has no effect. After an error whose Ran is "no", no part
 // of the batch runs.
 func (s *Service) Submit(ctx context.Context, b batch.Batch) error {
-	if _, ok := s.Index.Get(b.ID); ok {
-		return nil
+	if head, ok := s.Index.Get(b.ID); ok {
+		return checkAccount(head, b.Account)
 	}
 	owner := s.assignedOwner(b.Model)
 	b.ConfigVersion = s.Runner.configVersion()
@@ -97,6 +97,9 @@
 	s.Index.Put(head)
 	s.Logger.LogAttrs(ctx, slog.LevelInfo, "batch accepted", slog.String("batch", b.ID), slog.Bool("created", created),
 		slog.String("owner", head.Owner.Host), slog.Int64("revision", head.Revision))
+	if err := checkAccount(head, b.Account); err != nil {
+		return err
+	}
 	switch {
 	case !created || !head.IsOpen():
 	case head.Owner == s.Runner.Self:
@@ -107,6 +110,22 @@
 	return nil
 }
 
+// checkAccount returns an error if a batch with the same id was accepted from another client
+// account.
+func checkAccount(head batch.Head, account string) error {
+	if head.Account != account {
+		return kind.New(kind.Conflict, "the id of batch %q is taken", head.ID)
+	}
+	return nil
+}
+
+// Account returns the client account that a batch belongs to, or an empty name if it belongs
+// to none.
+func (s *Service) Account(ctx context.Context, id string) (string, error) {
+	head, err := s.head(ctx, id)
+	return head.Account, err
+}
+
 // handOverTo hands a new batch over to its owner in the background, and claims it for
 // this host if the owner doesn't run it. The caller's submission is confirmed without
 // waiting for this. If the host has stood still since the batch was accepted, the owner or
