Count texts as JSON encodes them, and don't run a closed batch again

The bounds of one value of the store and of one page counted texts before JSON escapes them, so results with many < or quotes were written in vain for ever. Store.Accept reported a batch that was stored, run and closed before its lost answer was asked for again as created, so it was handed over once more. Change: bounds count the encoded text; a batch counts as created only while its head is the one that the call wrote.

--- a/internal/rollout/batch/batch.go
+++ b/internal/rollout/batch/batch.go
@@ -128,8 +128,8 @@
 	Total int
 }
 
-// maxPageBytes bounds the text of one page. Readers accept at most 1 MB, and
-// encoding makes the text longer.
+// maxPageBytes bounds the encoded text of one page. Readers accept at most 1 MB, and the other
+// fields of the results need some of it.
 const maxPageBytes = 600 << 10
 
 // NewPage returns the page that starts at position after, where results holds the
@@ -140,7 +140,7 @@
 	page := Page{Next: after, Total: total}
 	size := 0
 	for _, r := range results {
-		size += len(r.Text)
+		size += encodedLen(r.Text)
 		if len(page.Results) > 0 && size > maxPageBytes {
 			break
 		}
--- a/internal/rollout/batch/results.go
+++ b/internal/rollout/batch/results.go
@@ -68,7 +68,7 @@
 func chunkLength(results []Result) int {
 	size := 0
 	for n, r := range results {
-		size += len(r.Text)
+		size += encodedLen(r.Text)
 		if n == maxChunkResults || n > 0 && size > maxPieceBytes {
 			return n
 		}
@@ -80,7 +80,7 @@
 func AppendLimit(results []Result) int {
 	size := 0
 	for n, r := range results {
-		size += len(r.Text)
+		size += encodedLen(r.Text)
 		if n == maxAppendChunks*maxChunkResults || n > 0 && size > maxAppendBytes {
 			return n
 		}
--- a/internal/rollout/batch/store.go
+++ b/internal/rollout/batch/store.go
@@ -106,7 +106,9 @@
 		return head, true, nil
 	}
 	stored, err := decodeHead(result.Current[0])
-	return stored, stored.Owner == owner && stored.SubmittedMillis == head.SubmittedMillis, err
+	head.Revision = stored.Revision
+	// A head that has changed since belongs to a batch that has run, or was ended.
+	return stored, stored == head, err
 }
 
 // commitWithRetry retries a transaction with back-off until its outcome is known
