Count late requests of hosts too, and spread reports to a new holder

Requests that a host counts after their window is closed weren't in the metric. At a change of the holder all hosts reported at once; they now spread over half a second, which a new holder waits anyway.

--- a/internal/request/usage/reporter.go
+++ b/internal/request/usage/reporter.go
@@ -5,10 +5,6 @@
 	"log/slog"
 	"time"
 
-	"go.opentelemetry.io/otel"
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/metric"
-
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/base/wait"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
@@ -50,8 +46,7 @@
 	Store    kv.Store
 	Windows  Windows
 
-	reported metric.Int64Counter
-	requests metric.Int64Counter
+	metrics instruments
 	// started is the window in which this host started. It is the first one of a fleet
 	// without a ledger.
 	started int64
@@ -70,7 +65,7 @@
 
 // Run closes and reports windows until ctx ends.
 func (r *Reporter) Run(ctx context.Context) error {
-	r.setUpMetrics()
+	r.metrics = newInstruments(r.Logger)
 	r.started = r.Windows.At(time.Now())
 	for wait.For(ctx, pollInterval) {
 		term, ok := r.Holder.Term()
@@ -157,12 +152,12 @@
 	}
 	r.ledger, r.revision = closed, result.Revision
 	for _, window := range lost {
-		r.countWindow(ctx, "lost")
+		r.metrics.countWindow(ctx, outcomeLost)
 		r.Logger.LogAttrs(ctx, slog.LevelError, "usage window lost", slog.Int64("window", window),
 			slog.Time("end", r.Windows.End(window)))
 	}
 	if late := r.Collector.Close(closed.Next); late > 0 {
-		r.countRequests(ctx, "late", late)
+		r.metrics.countRequests(ctx, outcomeLate, late)
 		r.Logger.LogAttrs(ctx, slog.LevelWarn, "counts received too late for their window", slog.Int64("requests", late))
 	}
 }
@@ -184,41 +179,16 @@
 			requests += n
 		}
 		age := r.Clock.Time(time.Now()).Sub(r.Windows.End(window.Window))
-		outcome, level := "reported", slog.LevelInfo
+		outcome, level := outcomeReported, slog.LevelInfo
 		switch {
 		case err != nil:
-			outcome, level = "lost", slog.LevelError
+			outcome, level = outcomeLost, slog.LevelError
 		case age > r.Delay:
-			outcome, level = "overdue", slog.LevelWarn
+			outcome, level = outcomeOverdue, slog.LevelWarn
 		}
-		r.countWindow(ctx, outcome)
-		r.countRequests(ctx, outcome, requests)
+		r.metrics.countWindow(ctx, outcome)
+		r.metrics.countRequests(ctx, outcome, requests)
 		r.Logger.LogAttrs(ctx, level, "usage window settled", slog.String("outcome", outcome), slog.Int64("window", window.Window), slog.Int64("requests", requests),
 			slog.Int("accounts", len(window.Counts)), slog.Duration("after", age), slog.Int64("fence", r.term.Fence), slog.Any("error", err))
 	}
 }
-
-func (r *Reporter) setUpMetrics() {
-	meter := otel.Meter("nutmegway/usage")
-	var err error
-	if r.reported, err = meter.Int64Counter("nutmegway.usage.windows",
-		metric.WithDescription("Windows of usage by outcome: reported, overdue or lost.")); err != nil {
-		r.Logger.Error("cannot create metric", slog.Any("error", err))
-	}
-	if r.requests, err = meter.Int64Counter("nutmegway.usage.requests",
-		metric.WithDescription("Requests in windows of usage by outcome: reported, overdue, lost or late.")); err != nil {
-		r.Logger.Error("cannot create metric", slog.Any("error", err))
-	}
-}
-
-func (r *Reporter) countWindow(ctx context.Context, outcome string) {
-	if r.reported != nil {
-		r.reported.Add(ctx, 1, metric.WithAttributes(attribute.String("outcome", outcome)))
-	}
-}
-
-func (r *Reporter) countRequests(ctx context.Context, outcome string, n int64) {
-	if r.requests != nil {
-		r.requests.Add(ctx, n, metric.WithAttributes(attribute.String("outcome", outcome)))
-	}
-}
--- a/internal/request/usage/sender.go
+++ b/internal/request/usage/sender.go
@@ -14,6 +14,8 @@
 	// sendInterval is the time between two reports of a host to the holder. What a host
 	// counted since the last one is lost if the host dies.
 	sendInterval = time.Second
+	// resendSpread is the time over which the hosts spread their reports to a new holder.
+	resendSpread = 500 * time.Millisecond
 	// sendTimeout bounds one report to another host.
 	sendTimeout = 500 * time.Millisecond
 )
@@ -66,6 +68,8 @@
 	// Self is the id of this host, and Incarnation that of its process.
 	Self, Incarnation string
 
+	metrics instruments
+
 	mu sync.Mutex
 	// sent holds the revision of the counts that each host has acknowledged, by incarnation.
 	sent map[string]int64
@@ -73,6 +77,7 @@
 
 // Run sends counts until ctx ends.
 func (s *Sender) Run(ctx context.Context) error {
+	s.metrics = newInstruments(s.Logger)
 	wait.For(ctx, wait.Jittered(sendInterval))
 	for ctx.Err() == nil {
 		changed := s.Duties.Changed()
@@ -81,6 +86,7 @@
 		select {
 		case <-ctx.Done():
 		case <-changed:
+			wait.For(ctx, wait.Jittered(resendSpread))
 		case <-timer.C:
 		}
 		timer.Stop()
@@ -153,6 +159,7 @@
 // close drops the windows before next.
 func (s *Sender) close(ctx context.Context, next int64) {
 	if late := s.Recorder.Close(next); late > 0 {
+		s.metrics.countRequests(ctx, outcomeLate, late)
 		s.Logger.LogAttrs(ctx, slog.LevelWarn, "requests counted too late for their window", slog.Int64("requests", late))
 	}
 }
