--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -3,6 +3,7 @@
 package lease
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -34,9 +35,9 @@
 	pollDivisor = 2
 	// renewDivisor gives the interval and the timeout of renewals.
 	renewDivisor = 4
-	// createRetryDivisor gives the maximum interval between attempts to create the
-	// key.
-	createRetryDivisor = 16
+	// retryDivisor gives the maximum interval between attempts to create the key, and
+	// the interval between renewals after one that failed.
+	retryDivisor = 16
 	// revokeTimeout limits the call that revokes a lease.
 	revokeTimeout = time.Second
 )
@@ -58,8 +59,13 @@
 
 // Holder acquires a lease and renews it. The exported fields are set before Run.
 type Holder struct {
+	// AwaitTurn waits until this node is to try to acquire the lease. If it is nil, the
+	// node reads the key again and again until no other node holds it.
+	AwaitTurn func(ctx context.Context)
 	// ID identifies this node.
-	ID     string
+	ID string
+	// Key is the key of the lease in the store. If it is empty, it is made from Name.
+	Key    string
 	Logger *slog.Logger
 	// Margin is how long before the earliest possible end of the lease the holder
 	// stops acting: the context of WhileHeld is cancelled and Valid returns false.
@@ -181,6 +187,15 @@
 // acquire tries to acquire the lease until it succeeds. It returns false when ctx
 // ends.
 func (h *Holder) acquire(ctx context.Context) (kv.LeaseID, bool) {
+	for h.AwaitTurn != nil && ctx.Err() == nil {
+		if h.AwaitTurn(ctx); ctx.Err() != nil {
+			break
+		}
+		if id, ok := h.tryAcquire(ctx); ok {
+			return id, true
+		}
+		h.sleepJittered(ctx, h.ttl()/pollDivisor)
+	}
 	for ctx.Err() == nil {
 		entry, err := h.Store.Get(ctx, h.key())
 		if err != nil {
@@ -214,10 +229,15 @@
 	until := time.Now().Add(h.TakeoverDelay)
 	for wait := h.TakeoverDelay; wait > 0 && ctx.Err() == nil; wait = time.Until(until) {
 		h.sleep(ctx, min(wait, h.ttl()/renewDivisor))
-		sent = time.Now()
-		if ttl, err := h.Store.KeepAlive(ctx, id); err != nil || ttl <= 0 {
-			h.revoke(ctx, id)
+		renewalSent := time.Now()
+		ttl, err := h.keepAlive(ctx, id)
+		switch {
+		case err != nil:
+			h.warnStepFailed(ctx, "renew", err)
+		case ttl <= 0:
 			return 0, false
+		default:
+			sent = renewalSent
 		}
 	}
 	h.update(ctx, func(l *Lifecycle, now time.Time) { l.Granted(sent, now, h.ttl(), fencingToken) })
@@ -256,7 +276,7 @@
 			return 0, false
 		}
 		h.warnStepFailed(ctx, "claim", err)
-		h.sleepJittered(ctx, h.ttl()/createRetryDivisor)
+		h.sleepJittered(ctx, h.ttl()/retryDivisor)
 	}
 	return 0, false
 }
@@ -273,25 +293,32 @@
 
 // renewUntilLost renews the lease until it is lost or ctx ends.
 func (h *Holder) renewUntilLost(ctx context.Context, id kv.LeaseID) {
+	pause := h.ttl() / renewDivisor
 	for {
-		h.sleep(ctx, h.ttl()/renewDivisor)
+		h.sleep(ctx, pause)
 		if ctx.Err() != nil {
 			return
 		}
 		sent := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, h.ttl()/renewDivisor)
-		ttl, err := h.Store.KeepAlive(callCtx, id)
-		cancel()
+		ttl, err := h.keepAlive(ctx, id)
 		if err != nil {
 			h.warnStepFailed(ctx, "renew", err)
+			pause = h.ttl() / retryDivisor
 			continue
 		}
+		pause = h.ttl() / renewDivisor
 		if h.update(ctx, func(l *Lifecycle, now time.Time) { l.Renewed(sent, now, ttl) }) == StateLost {
 			return
 		}
 	}
 }
 
+func (h *Holder) keepAlive(ctx context.Context, id kv.LeaseID) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, h.ttl()/renewDivisor)
+	defer cancel()
+	return h.Store.KeepAlive(ctx, id)
+}
+
 func (h *Holder) revoke(ctx context.Context, id kv.LeaseID) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), revokeTimeout)
 	defer cancel()
@@ -333,7 +360,17 @@
 		slog.String("lease", h.Name), slog.String("step", step), slog.Any("error", classError.Wrap(err)))
 }
 
-func (h *Holder) key() string { return keyPrefix + h.Name }
+func (h *Holder) key() string { return cmp.Or(h.Key, keyPrefix+h.Name) }
+
+// HolderOf returns the id of the node that holds the lease of an entry, or the empty string
+// if its value is invalid.
+func HolderOf(entry kv.Entry) string {
+	var r holderRecord
+	if err := json.Unmarshal(entry.Value, &r); err != nil {
+		return ""
+	}
+	return r.Holder
+}
 
 func (h *Holder) ttl() time.Duration {
 	if h.TTL > 0 {
