--- a/cmd/nutmegway/hostcmd.go
+++ b/cmd/nutmegway/hostcmd.go
@@ -20,6 +20,7 @@
 	"github.com/nutmegway/nutmegway/internal/base/telemetry"
 	"github.com/nutmegway/nutmegway/internal/entry/host"
 	"github.com/nutmegway/nutmegway/internal/external/kv"
+	"github.com/nutmegway/nutmegway/internal/fleet/duty"
 	"github.com/nutmegway/nutmegway/platform"
 )
 
@@ -77,6 +78,9 @@
 	h := &host.Host{
 		Dialect: platform.Dialect(), Decoder: platform.EntryDecoder{}, Engines: platform.Engines{Plain: client},
 		Logger: logger, Plain: client, Settings: settings, DirectStore: &platform.Store{Address: settings.StoreAddress},
+		Duties: func(holder *duty.Holder) duty.Platform {
+			return &platform.Duties{Address: settings.DutyAddress, Holder: holder, PerSecond: settings.DutyRate}
+		},
 	}
 	if settings.MetricsAddress != "" {
 		if err := enableMetrics(h); err != nil {
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -26,6 +26,7 @@
 	"github.com/nutmegway/nutmegway/internal/external/kvrelay"
 	"github.com/nutmegway/nutmegway/internal/external/kvrelay/kvrelaypb"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
+	"github.com/nutmegway/nutmegway/internal/fleet/duty"
 	"github.com/nutmegway/nutmegway/internal/fleet/follow"
 	"github.com/nutmegway/nutmegway/internal/fleet/leaving"
 	"github.com/nutmegway/nutmegway/internal/fleet/mirror"
@@ -100,6 +101,9 @@
 	Settings Settings
 	// DirectStore calls the key-value service directly, not through other hosts.
 	DirectStore kv.RangeStore
+	// Duties returns the client of the platform's interface for duties, which makes its calls
+	// as the given holder. If nil, the host has no duties.
+	Duties func(holder *duty.Holder) duty.Platform
 
 	// Metrics serves the metrics address. If nil, metrics aren't served.
 	Metrics http.Handler
@@ -116,9 +120,11 @@
 	accounts       *account.Gate
 	config         atomic.Pointer[config.Config]
 	poisonRegistry *poison.KVRegistry
-	drain          chan struct{}
-	drainOnce      sync.Once
-	crashDetector  *crashdetect.Detector
+	// dutyHolder is nil if the host has no duties.
+	dutyHolder    *duty.Holder
+	drain         chan struct{}
+	drainOnce     sync.Once
+	crashDetector *crashdetect.Detector
 	// forwardClient hands requests on to other hosts, and forwardServer serves theirs. They and
 	// links are nil without a peer address.
 	forwardClient      *forwardlink.Client
@@ -130,6 +136,7 @@
 	inventory          *inventory.Inventory
 	leaving            atomic.Bool
 	stopTime           *stopTime
+	usage              *usageReporting
 	peers              *peer.Pool
 	reach              *reach.Monitor
 	liveMirror         *mirror.Mirror
@@ -205,9 +212,6 @@
 		Batches: batches, Index: &batch.Index{Logger: h.Logger, OnHead: h.runner.HandleHead},
 		Retention: h.Settings.ResultRetention, Logger: h.Logger, Roster: h.roster, Runner: h.runner,
 	}
-	if h.Settings.PeerAddress != "" {
-		h.Batches.Link = &batchlink.Client{Pool: h.peers}
-	}
 	h.runner.Index = h.Batches.Index
 	h.runner.OnReleased = h.Batches.Offer
 	h.loadController = &loading.Controller{
@@ -216,11 +220,13 @@
 		Spacing: h.Settings.OrderSpacing,
 	}
 	if h.Settings.PeerAddress != "" {
+		h.Batches.Link = &batchlink.Client{Pool: h.peers}
 		h.setUpForwarding()
 	}
 	h.retirements = retirementResponder{IsResponsible: h.isResponsible, Decoder: h.Decoder, Logger: h.Logger, Store: h.store, wake: make(chan struct{}, 1)}
 	h.serverMirror = new(mirror.Mirror)
 	h.setUpAccounts()
+	h.setUpDuties(incarnation)
 }
 
 // Run serves until Drain is called or ctx ends.
@@ -257,6 +263,7 @@
 			kvrelay.Register(s, h.relayStore)
 			permitlink.Register(s, h.gate)
 			h.forwardServer.Register(s)
+			h.registerUsage(s)
 		}}
 		group.Go(func() error { return server.Run(groupCtx) })
 		defer func() { _ = h.peers.Close() }()
@@ -280,6 +287,7 @@
 	supervise(dutiesCtx, "release of batches", h.releaseWhileIsolated)
 	supervise(dutiesCtx, "orders", h.loadController.Run)
 	supervise(dutiesCtx, "retirements", h.retirements.Run)
+	h.superviseDuties(groupCtx, dutiesCtx, supervise)
 	group.Go(func() error {
 		select {
 		case <-groupCtx.Done():
@@ -317,6 +325,7 @@
 func (h *Host) mirrors() []*mirror.Mirror {
 	prefixes := h.Decoder.Prefixes()
 	h.liveMirror = &mirror.Mirror{CoalesceDelay: h.Settings.coalesceDelay(), Prefix: mirror.LivePrefix, OnChange: func(c mirror.Change) {
+		h.applyDuties(c)
 		h.roster.Apply(c)
 		h.loadController.SetHosts(roster.IDs(roster.Connected(h.roster.Active())))
 		h.Batches.Index.Apply(c)
@@ -510,6 +519,7 @@
 		h.forwardServer.AwaitIdle(shutdownCtx)
 	}
 	_ = group.Wait() // It returns no error.
+	h.handOverUsage(shutdownCtx)
 	if err := h.roster.Deregister(shutdownCtx); err != nil {
 		h.Logger.LogAttrs(ctx, slog.LevelInfo, "failed to withdraw host entry", slog.Any("error", err))
 	}
--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -191,6 +191,10 @@
 	return nil
 }
 
+// Condition returns the condition that holds in the store as long as the term lasts, for writes
+// that only its holder may make.
+func (*Holder) Condition(t Term) kv.Condition { return kv.Condition{Key: key, ModRevision: t.Fence} }
+
 // Call makes one call to the platform within a term. The context of call ends after
 // CallTimeout; call must not leave anything behind that could arrive later.
 func (h *Holder) Call(ctx context.Context, t Term, call func(ctx context.Context) error) error {
