--- a/internal/entry/host/duties.go
+++ b/internal/entry/host/duties.go
@@ -32,6 +32,7 @@
 	platform := h.Duties(h.dutyHolder)
 	if h.Settings.UsageWindow > 0 {
 		h.usage = h.newUsageReporting(incarnation, platform)
+		h.Forwarder.Usage = h.usage.recorder
 	}
 }
 
--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -258,7 +258,7 @@
 	x.group.Go(func() error {
 		var a answer
 		err := recovery.Call(x.Logger, "request "+x.request.ID, func() error {
-			a = x.send(ctx, candidate, x.request, x.deadline, x.attempts.route.Repeat != config.RepeatIdempotent)
+			a = x.sendRecorded(ctx, candidate)
 			return nil
 		})
 		if err != nil {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -109,6 +109,8 @@
 	Self string
 	// Stop tells when this host stops; nil means never.
 	Stop Stop
+	// Usage counts the requests of accounts that servers began; nil counts none.
+	Usage UsageRecorder
 	// Zone is the availability zone of this host.
 	Zone string
 
@@ -128,6 +130,8 @@
 	hasMore bool
 	err     error
 	ran     kind.Ran
+	// sent is when the request was sent. It is zero if it wasn't.
+	sent time.Time
 	// relayed is set if the answer came over another host. server is empty then.
 	relayed bool
 }
@@ -269,12 +273,14 @@
 	}
 	header.Set(f.Dialect.BudgetMillis, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
 	header.Set(f.Dialect.ExpectServer, candidate.ID)
+	var sent time.Time
 	response, err := f.Client.Do(ctx, candidate.Address, plain.Request{
 		Body: bytes.NewReader(request.Body), Header: header, Host: request.Host, Length: int64(len(request.Body)),
 		BeforeSend: func() error {
 			if err := f.Inventory.CheckAvailable(candidate.ID); err != nil {
 				return err
 			}
+			sent = time.Now()
 			return request.Grant.Check()
 		},
 		Method: request.Method, AtMostOnce: atMostOnce, Purpose: plain.PurposeSingle, RequestID: request.ID, Server: candidate.ID, Target: request.Target,
@@ -286,9 +292,9 @@
 		case ctx.Err() == nil && request.Grant.Check() == nil:
 			f.Inventory.RecordFailure(candidate.ID)
 		}
-		return answer{server: candidate.Server, err: err, ran: kind.Of(err).Ran}
+		return answer{server: candidate.Server, err: err, ran: kind.Of(err).Ran, sent: sent}
 	}
-	a := answer{server: candidate.Server, response: response, ran: kind.RanYes}
+	a := answer{server: candidate.Server, response: response, ran: kind.RanYes, sent: sent}
 	if response.Header.Get(f.Dialect.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		a.ran = kind.RanNo
 		f.Inventory.BackOff(candidate.ID, minRetryAfter)
@@ -297,7 +303,7 @@
 	a.head, a.hasMore, err = f.readHead(response)
 	if err != nil {
 		_ = response.Body.Close()
-		return answer{server: candidate.Server, err: err, ran: kind.RanUnknown}
+		return answer{server: candidate.Server, err: err, ran: kind.RanUnknown, sent: sent}
 	}
 	if !isEventStream(response) {
 		f.Inventory.RecordAnswer(candidate.ID, ParseLoad(response.Header.Get(f.Dialect.Load)))
--- a/internal/request/usage/collector.go
+++ b/internal/request/usage/collector.go
@@ -2,8 +2,13 @@
 
 import "sync"
 
-// maxWindows bounds the windows for which counts are kept.
-const maxWindows = 64
+const (
+	// maxWindows bounds the windows for which counts are kept.
+	maxWindows = 64
+	// keptWindows is the number of closed windows whose counts are kept, to tell requests that
+	// come too late from those that a host reports again.
+	keptWindows = 8
+)
 
 // Collector adds up the counts of the hosts. It does no I/O. Its zero value is ready to use.
 type Collector struct {
@@ -33,14 +38,17 @@
 		c.newest = max(c.newest, window)
 		for account, n := range accounts {
 			// Reports may arrive out of order.
-			if more := n - known[window][account]; more > 0 && window >= c.next {
-				known.Add(window, account, more)
-			} else if more > 0 {
+			more := n - known[window][account]
+			if more <= 0 {
+				continue
+			}
+			known.Add(window, account, more)
+			if window < c.next && window >= c.next-keptWindows {
 				c.late += more
 			}
 		}
 	}
-	c.prune(max(c.next, c.newest-maxWindows))
+	c.prune(max(c.next-keptWindows, c.newest-maxWindows))
 }
 
 // Sum returns the counts of a window by account.
@@ -56,13 +64,13 @@
 	return sum
 }
 
-// Close drops the windows before next, which are closed, and returns how many requests since
-// the last call came too late for their window.
+// Close notes that the windows before next are closed, and returns how many requests since the
+// last call came too late for their window.
 func (c *Collector) Close(next int64) (late int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next = max(c.next, next)
-	c.prune(c.next)
+	c.prune(c.next - keptWindows)
 	late, c.late = c.late, 0
 	return late
 }
