--- a/internal/backend/inventory/inventory.go
+++ b/internal/backend/inventory/inventory.go
@@ -40,6 +40,8 @@
 	// Software is the version of the server's software. Streams that servers of different
 	// versions wrote don't fit together.
 	Software string
+	// Spot is set if the server is cheaper than others and may be reclaimed.
+	Spot bool
 	// Started is the start time of the server in Unix milliseconds, or zero if it isn't
 	// known. It distinguishes successive starts under the same id.
 	Started int64
--- a/internal/entry/host/duties.go
+++ b/internal/entry/host/duties.go
@@ -30,6 +30,9 @@
 		Logger:     h.Logger, Self: h.Settings.ID, Spacing: h.Settings.OrderSpacing, Store: h.store,
 	}
 	platform := h.Duties(h.dutyHolder)
+	if h.Settings.OrdersServers {
+		h.scaling = h.newScaling(platform)
+	}
 	if h.Settings.UsageWindow > 0 {
 		h.usage = h.newUsageReporting(incarnation, platform)
 		h.Forwarder.Usage = h.usage.recorder
@@ -62,6 +65,9 @@
 		return
 	}
 	supervise(dutiesCtx, "duties", h.dutyHolder.Run)
+	if h.scaling != nil {
+		supervise(dutiesCtx, "orders of servers", h.scaling.Run)
+	}
 	if h.usage != nil {
 		supervise(hostCtx, "usage counts", h.usage.sender.Run)
 		supervise(dutiesCtx, "usage reports", h.usage.reporter.Run)
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -44,6 +44,7 @@
 	"github.com/nutmegway/nutmegway/internal/rollout/batchlink"
 	"github.com/nutmegway/nutmegway/internal/rollout/batchrun"
 	"github.com/nutmegway/nutmegway/internal/rollout/loading"
+	"github.com/nutmegway/nutmegway/internal/rollout/scaling"
 )
 
 const (
@@ -142,10 +143,12 @@
 	liveMirror         *mirror.Mirror
 	// relayStore uses the key-value service through other hosts if it can't be reached
 	// directly. It is nil without a peer address.
-	relayStore       *kvrelay.Store
-	retirements      retirementResponder
-	roster           *roster.Roster
-	runner           *batchrun.Runner
+	relayStore  *kvrelay.Store
+	retirements retirementResponder
+	roster      *roster.Roster
+	runner      *batchrun.Runner
+	// scaling is nil if the host doesn't order servers.
+	scaling          *scaling.Controller
 	inventoryUpdater *inventoryUpdater
 	// operatorMirror and serverMirror exist from SetUp on, since authentication and readiness
 	// depend on them.
--- a/internal/rollout/batchlink/batchlink.go
+++ b/internal/rollout/batchlink/batchlink.go
@@ -20,6 +20,7 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
 	"github.com/nutmegway/nutmegway/internal/rollout/batchlink/batchlinkpb"
+	"github.com/nutmegway/nutmegway/internal/rollout/scaling"
 )
 
 var classError = errs.Class("batchlink")
@@ -28,6 +29,8 @@
 	// handoverTimeout bounds an Adopt or Offer call. A batch has some tens of
 	// kilobytes, so a host that doesn't answer in this time is presumed gone.
 	handoverTimeout = 300 * time.Millisecond
+	// demandTimeout bounds a Demand call.
+	demandTimeout = 500 * time.Millisecond
 	// readSlack is how much longer a Read call may take than the reader waits for
 	// results.
 	readSlack = 300 * time.Millisecond
@@ -38,6 +41,8 @@
 	// Adopt runs a batch that is stored with this host as its owner. It returns
 	// false if the host accepts no batches or knows that this one has changed since.
 	Adopt(ctx context.Context, head batch.Head, b batch.Batch) bool
+	// OwnDemand returns what the batches that this host runs still need.
+	OwnDemand() scaling.Demand
 	// HandleOffer handles the offer of a batch that another host has released.
 	HandleOffer(ctx context.Context, head batch.Head)
 	// Page returns the stored results from position after on. If there are none yet,
@@ -71,6 +76,22 @@
 	return &batchlinkpb.AdoptReply{Running: h.owner.Adopt(ctx, head, b)}, nil
 }
 
+// Demand implements batchlinkpb.BatchLinkServer.
+func (h handler) Demand(context.Context, *batchlinkpb.DemandRequest) (*batchlinkpb.DemandReply, error) {
+	demand := h.owner.OwnDemand()
+	reply := &batchlinkpb.DemandReply{}
+	for _, b := range demand.Batches {
+		reply.Batches = append(reply.Batches, &batchlinkpb.BatchDemand{
+			Id: b.ID, Service: b.Service, Model: b.Model, AgeMillis: b.Age.Milliseconds(),
+			RunTargetMillis: b.RunTarget.Milliseconds(), Items: int64(b.Items), Unfinished: int64(b.Unfinished), Waiting: int64(b.Waiting),
+		})
+	}
+	for _, p := range demand.Paces {
+		reply.Paces = append(reply.Paces, &batchlinkpb.Pace{Service: p.Service, BusyMicros: p.Busy.Microseconds(), Items: p.Items})
+	}
+	return reply, nil
+}
+
 // Offer implements batchlinkpb.BatchLinkServer.
 func (h handler) Offer(ctx context.Context, r *batchlinkpb.OfferRequest) (*batchlinkpb.OfferReply, error) {
 	var head batch.Head
@@ -130,6 +151,31 @@
 	return reply.GetRunning(), err
 }
 
+// Demand returns what the batches that the host at address runs still need.
+func (c *Client) Demand(ctx context.Context, address string) (scaling.Demand, error) {
+	ctx, cancel := context.WithTimeout(ctx, demandTimeout)
+	defer cancel()
+	reply, err := call(c, address, func(link batchlinkpb.BatchLinkClient) (*batchlinkpb.DemandReply, error) {
+		return link.Demand(ctx, &batchlinkpb.DemandRequest{})
+	})
+	if err != nil {
+		return scaling.Demand{}, err
+	}
+	demand := scaling.Demand{Complete: true}
+	for _, b := range reply.GetBatches() {
+		demand.Batches = append(demand.Batches, scaling.Batch{
+			Age: time.Duration(b.GetAgeMillis()) * time.Millisecond, ID: b.GetId(), Items: int(b.GetItems()), Model: b.GetModel(),
+			RunTarget: time.Duration(b.GetRunTargetMillis()) * time.Millisecond, Service: b.GetService(), Unfinished: int(b.GetUnfinished()), Waiting: int(b.GetWaiting()),
+		})
+	}
+	for _, p := range reply.GetPaces() {
+		demand.Paces = append(demand.Paces, scaling.Pace{
+			Busy: time.Duration(p.GetBusyMicros()) * time.Microsecond, Items: p.GetItems(), Service: p.GetService(),
+		})
+	}
+	return demand, nil
+}
+
 // Offer offers the host at address a batch that this host has released.
 func (c *Client) Offer(ctx context.Context, address string, head batch.Head) error {
 	encoded, err := json.Marshal(head)
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -280,6 +280,7 @@
 			slog.Duration("best-pace", start.bestPace), slog.Duration("waited", start.waited), slog.String("waited-for", string(start.obstacle)),
 			slog.Duration("to-first-event", tracker.toFirstEvent(began)), slog.Duration("silent", tracker.silence(began)))
 	}
+	r.recordPace(start.service, time.Since(began), outcome == generation.OutcomeCompleted)
 	wroteWholeText := eventsBefore == 0 && outcome == generation.OutcomeCompleted
 	if !wroteWholeText && br.hasOtherSoftware(engine.Server) {
 		s.reset()
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -82,6 +82,8 @@
 	finishing bool
 	group     *errgroup.Group
 	metrics   instruments
+	// paces holds for how long items occupy slots, by service.
+	paces map[string]*pace
 	// rewards holds the reward calls that have no answer yet.
 	rewards reward.Queue[*pendingScore]
 	// runs holds the batches that this host runs, by ID.
--- a/internal/rollout/batchrun/service.go
+++ b/internal/rollout/batchrun/service.go
@@ -14,6 +14,7 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/roster"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
 	"github.com/nutmegway/nutmegway/internal/rollout/batchlink"
+	"github.com/nutmegway/nutmegway/internal/rollout/scaling"
 )
 
 const (
@@ -42,6 +43,8 @@
 	// Adopt hands a stored batch over to its owner at address and reports whether the
 	// batch runs there.
 	Adopt(ctx context.Context, address string, head batch.Head, b batch.Batch) (bool, error)
+	// Demand returns what the batches that the host at address runs still need.
+	Demand(ctx context.Context, address string) (scaling.Demand, error)
 	// Offer lets the host at address take over a batch that this host has released.
 	Offer(ctx context.Context, address string, head batch.Head) error
 	// Ping checks whether the host at address is alive. The error is
@@ -164,6 +167,10 @@
 	return s.Runner.Runs(head.ID)
 }
 
+// OwnDemand implements batchlink.Owner: it returns what the batches that this host runs still
+// need.
+func (s *Service) OwnDemand() scaling.Demand { return s.Runner.Demand() }
+
 // Page implements batchlink.Owner: it returns results of a batch that this host runs or
 // has closed.
 func (s *Service) Page(ctx context.Context, id string, after int) (batch.Page, bool) {
