--- a/internal/rollout/scaling/controller.go
+++ b/internal/rollout/scaling/controller.go
@@ -185,7 +185,7 @@
 	c.lastLog[service] = logged{at: time.Now(), reason: decision.Reason}
 	c.Logger.LogAttrs(ctx, slog.LevelInfo, "number of servers decided", slog.String("service", service),
 		slog.String("reason", decision.Reason), slog.Int("orders", len(decision.Orders)), slog.Int("guaranteed", Guaranteed(decision.Counts)),
-		slog.Int("wanted", decision.Want), slog.Int("kept", decision.Keep), slog.Float64("slots-queued", decision.Need.Queued),
+		slog.Int("needed", decision.Least), slog.Int("wanted", decision.Want), slog.Int("kept", decision.Keep), slog.Float64("slots-queued", decision.Need.Queued),
 		slog.Float64("slots-promised", decision.Need.Promised), slog.Float64("slots-peak", decision.Need.Peak),
 		slog.Int("items-waiting", decision.Need.Waiting), slog.Duration("run-time", decision.Need.RunTime), slog.Bool("settled", decision.Need.Settled), slog.String("servers", describe(decision.Counts)))
 }
--- a/internal/rollout/scaling/decider.go
+++ b/internal/rollout/scaling/decider.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// spareShare is the share of servers beyond the need that makes up for those that are
-	// slow, load weights or have failed.
+	// spareShare is the share of servers beyond the need that is ordered when there are too few,
+	// for those that are slow, load weights or have failed.
 	spareShare = 0.1
 	// surplusShare is the share of the kept servers by which there have to be more before
 	// fewer are ordered.
@@ -42,12 +42,12 @@
 // Decision is what the servers of a service should be, and why.
 type Decision struct {
 	Counts []Count
-	// Keep is the number of servers below which the service doesn't go, and Want that up to
-	// which servers are added.
-	Keep, Want int
-	Need       Need
-	Orders     []Order
-	Reason     string
+	// Least is the number of servers below which more are ordered, Want the number up to which
+	// they are, and Keep the number down to which servers are ordered away.
+	Keep, Least, Want int
+	Need              Need
+	Orders            []Order
+	Reason            string
 }
 
 // poolState is what is known of the orders for a pool.
@@ -87,17 +87,22 @@
 		decision.Reason = "need is unknown"
 		return decision
 	}
-	wanted := decision.Need.Slots() / float64(slotsPerServer) * (1 + spareShare)
-	decision.Want = int(math.Ceil(wanted))
+	least := decision.Need.Slots() / float64(slotsPerServer)
+	wanted := least * (1 + spareShare)
+	decision.Least, decision.Want = int(math.Ceil(least)), int(math.Ceil(wanted))
 	decision.Keep = int(math.Ceil(wanted * (1 + surplusShare)))
 	guaranteed := Guaranteed(decision.Counts)
-	targets := Raise(decision.Counts, limits, decision.Want)
+	want := 0
+	if guaranteed < decision.Least {
+		want = decision.Want
+	}
+	targets := Raise(decision.Counts, limits, want)
 	decision.Reason = "enough servers"
 	switch {
 	case !equalServers(targets, decision.Counts):
-		decision.Reason = fmt.Sprintf("%d servers guaranteed, %d wanted", guaranteed, decision.Want)
-	case guaranteed < decision.Want:
-		decision.Reason = fmt.Sprintf("%d servers guaranteed, %d wanted, and no more are to be had", guaranteed, decision.Want)
+		decision.Reason = fmt.Sprintf("%d servers guaranteed, %d needed", guaranteed, decision.Least)
+	case want > 0:
+		decision.Reason = fmt.Sprintf("%d servers guaranteed, %d needed, and no more are to be had", guaranteed, decision.Least)
 	case d.mayLower(now, decision.Need):
 		most := int(maxLoweredShare * float64(guaranteed))
 		if lowered := Lower(decision.Counts, limits, decision.Keep, most); !equalServers(lowered, decision.Counts) {
