Let hosts that know more than their reader wait for it

A host that has read the store itself knows a later revision than its reader, whose copy learns the store's revision only with its next answer. The reader sent it away, and so each read of the store was followed by another one, for seconds and on all hosts at once. Now only the age of the copy decides: it bounds when the host knows a later change, as for all other hosts.

--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -340,15 +340,18 @@
 // Since returns the changes after revision, for hosts that follow this one. It
 // waits for a change until ctx ends. On a host that has just started it also waits
 // for the first answer of the store. It returns false as soon as the last answer of the
-// store is older than MaxAge, also during the wait, if the copy is behind revision, or
-// if ctx ends before the first answer.
+// store is older than MaxAge, also during the wait, or if ctx ends before the first answer.
+//
+// A host that has just read the store itself knows a later revision than this copy, which
+// learns the store's revision only with the next answer. Its age alone bounds when it knows
+// a later change, so such a host waits for it like the others.
 func (m *Mirror) Since(ctx context.Context, revision int64) (Update, bool) {
 	maxAge := cmp.Or(m.MaxAge, DefaultMaxAge)
 	for {
 		m.mu.Lock()
 		starting := !m.confirmation.known && m.revision == 0 && m.StaleLister != nil
 		rest := maxAge - m.confirmation.age()
-		if !starting && (!m.confirmation.known || rest < 0 || revision > m.revision) {
+		if !starting && (!m.confirmation.known || rest < 0) {
 			m.mu.Unlock()
 			return Update{}, false
 		}
--- a/internal/fleet/mirror/silent_test.go
+++ b/internal/fleet/mirror/silent_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -139,6 +141,95 @@
 	})
 }
 
+// TestHostAheadOfItsReaderReturnsToIt has hosts that read the store themselves, as after a
+// start or while their reader was away, so that they know a later revision than the reader.
+// If the reader sent them away, each read of the store would leave them ahead again.
+func TestHostAheadOfItsReaderReturnsToIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store, r := &countingStore{Store: &kvmemory.Store{}}, &recorder{}
+		put(t, store, "p/0", "a")
+		readerStore := &silentStore{Store: store.Store}
+		reader := &mirror.Mirror{MaxAge: maxAge, Prefix: "p/", Store: readerStore, WatchTimeout: watchTimeout}
+		source := &returningSource{mirrorSource: mirrorSource{mirror: reader}}
+		source.unreachable.Store(true)
+		follower := &mirror.Mirror{OnChange: r.onChange, Prefix: "p/", Source: source, Store: store, WatchTimeout: watchTimeout}
+		stop := start(t, reader, follower)
+		defer stop()
+		var writers sync.WaitGroup
+		ctx, cancel := context.WithCancel(t.Context())
+		defer writers.Wait()
+		defer cancel()
+		writers.Go(func() { // of other keys: the store's revision rises all the time
+			for ctx.Err() == nil {
+				_, _ = store.Commit(context.Background(), kv.Txn{Writes: []kv.Write{{Key: "elsewhere"}}})
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+		time.Sleep(5 * time.Second)
+		before := store.calls()
+		source.unreachable.Store(false)
+		time.Sleep(20 * time.Second)
+		is.True(store.calls()-before <= 1) // the call that was waiting
+		put(t, store, "p/1", "a")
+		began := time.Now()
+		for r.get("p/1") == "" {
+			time.Sleep(time.Millisecond)
+		}
+		is.True(time.Since(began) < bound)
+		readerStore.setSilent(true)
+		put(t, store, "p/1", "b")
+		for began = time.Now(); r.get("p/1") != "b"; {
+			time.Sleep(time.Millisecond)
+		}
+		is.True(time.Since(began) < bound)
+	})
+}
+
+// returningSource is a reader that is unreachable for a while.
+type returningSource struct {
+	mirrorSource
+
+	unreachable atomic.Bool
+}
+
+func (s *returningSource) Follow(ctx context.Context, prefix string, revision int64) (mirror.Update, bool, error) {
+	if s.unreachable.Load() {
+		return mirror.Update{}, true, errors.New("unreachable")
+	}
+	return s.mirrorSource.Follow(ctx, prefix, revision)
+}
+
+// countingStore counts the calls of one host.
+type countingStore struct {
+	*kvmemory.Store
+
+	count atomic.Int64
+}
+
+func (s *countingStore) calls() int64 { return s.count.Load() }
+
+func (s *countingStore) List(ctx context.Context, prefix string) ([]kv.Entry, int64, error) {
+	s.count.Add(1)
+	return s.Store.List(ctx, prefix)
+}
+
+func (s *countingStore) Watch(ctx context.Context, prefix string, revision int64) (kv.Watcher, error) {
+	watcher, err := s.Store.Watch(ctx, prefix, revision)
+	return countingWatcher{Watcher: watcher, store: s}, err
+}
+
+type countingWatcher struct {
+	kv.Watcher
+
+	store *countingStore
+}
+
+func (w countingWatcher) Next(ctx context.Context) (kv.Batch, error) {
+	w.store.count.Add(1)
+	return w.Watcher.Next(ctx)
+}
+
 // lateStore answers each watch after a minute, as it seems to a process that stood still.
 type lateStore struct{ *kvmemory.Store }
 
