Keep readers fresh after a watch without an answer

While all readers are too old, each host asks the store itself, three calls for each. That lasted as long as a whole watch: after a watch without an answer, and on a host that had just become a reader, the next one was answered 1.7 s later. A watch now ends before the copy gets too old. A reader that says that its copy is too old is left for half a second and for that prefix, not for 3 s and all prefixes, and the next reader is asked before the store. Every bound of age holds as before.

New tests failed before: TestReaderStaysFreshAfterOneSilentWatch, TestNewReaderIsSoonFresh, TestReaderTooOldForOnePrefixServesAnother.

--- a/internal/fleet/follow/failures.go
+++ b/internal/fleet/follow/failures.go
@@ -5,28 +5,28 @@
 	"time"
 )
 
-// recentFailures holds the incarnations of hosts to which a call failed less than
-// ejectionTime ago.
+// recentFailures holds until when the readers that failed are not called. A key is the
+// incarnation of a reader, or that of a reader and a prefix.
 type recentFailures struct {
-	mu       sync.Mutex
-	failedAt map[string]time.Time
+	mu    sync.Mutex
+	until map[string]time.Time
 }
 
-func (f *recentFailures) record(incarnation string) {
+func (f *recentFailures) record(key string, duration time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.failedAt == nil {
-		f.failedAt = make(map[string]time.Time)
+	if f.until == nil {
+		f.until = make(map[string]time.Time)
 	}
-	f.failedAt[incarnation] = time.Now()
+	f.until[key] = time.Now().Add(duration)
 }
 
-func (f *recentFailures) contains(incarnation string) bool {
+func (f *recentFailures) contains(key string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	last, ok := f.failedAt[incarnation]
-	if ok && time.Since(last) >= ejectionTime {
-		delete(f.failedAt, incarnation)
+	until, ok := f.until[key]
+	if ok && !time.Now().Before(until) {
+		delete(f.until, key)
 		return false
 	}
 	return ok
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -6,6 +6,8 @@
 import (
 	"cmp"
 	"context"
+	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -23,6 +25,9 @@
 
 var classError = errs.Class("follow")
 
+// errStale is the error of a reader whose copy of a prefix is too old or missing.
+var errStale = classError.New("the copy is too old or missing")
+
 const (
 	// hostsPerReader is the number of hosts that share a reader. A reader answers
 	// three calls from each of them per poll, one for each of a host's mirrors.
@@ -35,10 +40,15 @@
 	// bound is for a read of the store if the reader doesn't answer.
 	pollWaitShare = 0.6
 	networkShare  = 0.15
+	// nextReaderShare is that share for the next reader, if the copy of the first is too old.
+	nextReaderShare = 0.1
 	// defaultBound applies if Source has no bound.
 	defaultBound = 2 * time.Second
 	// ejectionTime is how long a reader is not called after a failure.
 	ejectionTime = 3 * time.Second
+	// staleTime is how long a reader isn't asked for a prefix after it has answered that its
+	// copy is too old. It is alive, and asks the store for an answer at once.
+	staleTime = 500 * time.Millisecond
 )
 
 // IsReader reports whether the host self, one of hosts, watches the store itself.
@@ -79,29 +89,42 @@
 	if len(hosts) <= minReaders || IsReader(s.Self, ids) {
 		return mirror.Update{}, false, nil
 	}
+	bound := cmp.Or(s.Bound, defaultBound)
+	wait, network := min(time.Duration(pollWaitShare*float64(bound)), maxPollWait), time.Duration(networkShare*float64(bound))
+	if limit, ok := s.MaxWait[prefix]; ok {
+		wait = min(wait, limit)
+	}
+	var staleErr error
 	for _, id := range rendezvous.Rank(s.Self, selectReaders(ids)) {
 		reader, ok := s.Roster.Get(id)
-		if !ok || reader.PeerAddress == "" || s.failed.contains(reader.Incarnation) {
+		if !ok {
 			continue
 		}
-		update, err := s.poll(ctx, reader.PeerAddress, prefix, revision)
-		if err != nil {
-			s.failed.record(reader.Incarnation)
+		stale := reader.Incarnation + " " + prefix
+		if reader.PeerAddress == "" || s.failed.contains(reader.Incarnation) || s.failed.contains(stale) {
+			continue
+		}
+		update, err := s.poll(ctx, reader.PeerAddress, prefix, revision, wait, network)
+		switch {
+		case errors.Is(err, errStale):
+			s.failed.record(stale, staleTime)
+			staleErr = err
+			// What this host knows may be as old already as the reader's copy.
+			wait, network = 0, time.Duration(nextReaderShare*float64(bound))
+		case err != nil:
+			s.failed.record(reader.Incarnation, ejectionTime)
 			return mirror.Update{}, true, err
+		default:
+			return update, true, nil
 		}
-		return update, true, nil
 	}
-	return mirror.Update{}, false, nil
+	return mirror.Update{}, staleErr != nil, staleErr
 }
 
-// poll asks the reader at address for the changes after revision.
-func (s *Source) poll(ctx context.Context, address, prefix string, revision int64) (mirror.Update, error) {
-	bound := cmp.Or(s.Bound, defaultBound)
-	wait := min(time.Duration(pollWaitShare*float64(bound)), maxPollWait)
-	if limit, ok := s.MaxWait[prefix]; ok {
-		wait = min(wait, limit)
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait+time.Duration(networkShare*float64(bound)))
+// poll asks the reader at address for the changes after revision. The reader waits for wait
+// for a change, and its reply may take as long as network more.
+func (s *Source) poll(ctx context.Context, address, prefix string, revision int64, wait, network time.Duration) (mirror.Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+network)
 	defer cancel()
 	var reply *followpb.NextReply
 	err := s.Pool.Call(address, func(conn grpc.ClientConnInterface) error {
@@ -115,7 +138,7 @@
 		return mirror.Update{}, classError.Wrap(err)
 	}
 	if reply.GetBehind() {
-		return mirror.Update{}, classError.New("host at %s cannot serve %s after revision %d: its copy is stale, behind or missing", address, prefix, revision)
+		return mirror.Update{}, fmt.Errorf("host at %s cannot serve %s after revision %d: %w", address, prefix, revision, errStale)
 	}
 	update := mirror.Update{
 		Age: time.Duration(reply.GetAgeMicros()) * time.Microsecond, AgeKnown: reply.AgeMicros != nil,
--- a/internal/fleet/follow/follow_test.go
+++ b/internal/fleet/follow/follow_test.go
@@ -76,7 +76,7 @@
 	watchTimeout = 200 * time.Millisecond
 )
 
-func newTestFleet(t *testing.T, store kv.Store) *testFleet {
+func newTestFleet(t *testing.T, store kv.Store, others ...*mirror.Mirror) *testFleet {
 	t.Helper()
 	logger := slog.New(slog.DiscardHandler)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -103,12 +103,14 @@
 	f.roster.Apply(change)
 	self := slices.DeleteFunc(slices.Clone(hosts), func(id string) bool { return follow.IsReader(id, hosts) })[0]
 	pool := &peer.Pool{Options: peer.LocalDialOptions()}
-	f.follower = &follow.Source{Bound: time.Second, Pool: pool, Roster: f.roster, Self: self}
-	server := &peer.Server{Address: address, Register: func(s *grpc.Server) { follow.Register(s, []*mirror.Mirror{f.reader}) }}
+	f.follower = &follow.Source{Pool: pool, Roster: f.roster, Self: self}
+	server := &peer.Server{Address: address, Register: func(s *grpc.Server) { follow.Register(s, append(others, f.reader)) }}
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error { return server.Run(ctx) })
-	group.Go(func() error { return f.reader.Run(ctx) })
+	for _, m := range append(others, f.reader) {
+		group.Go(func() error { return m.Run(ctx) })
+	}
 	t.Cleanup(func() {
 		_ = pool.Close()
 		cancel()
@@ -182,6 +184,34 @@
 	is.True(err != nil) // too old, however far ahead the host is
 }
 
+// TestReaderTooOldForOnePrefixServesAnother has readers that the store answers for one prefix
+// only.
+func TestReaderTooOldForOnePrefixServesAnother(t *testing.T) {
+	is := is.New(t)
+	store, other := &kvmemory.Store{}, &kvmemory.Store{}
+	put(t, store, "a/x")
+	put(t, other, "b/x")
+	f := newTestFleet(t, store, &mirror.Mirror{Logger: slog.New(slog.DiscardHandler), Prefix: "b/", Store: other, WatchTimeout: watchTimeout})
+	known := f.follow(t, 0).Revision
+	f.loseStore(store)
+	_, ok, err := f.follower.Follow(t.Context(), prefix, known)
+	is.True(ok)
+	is.True(err != nil)
+	_, ok, _ = f.follower.Follow(t.Context(), prefix, known)
+	is.True(!ok) // all readers are too old for this prefix
+	update, ok, err := f.follower.Follow(t.Context(), "b/", 0)
+	is.True(ok)
+	is.NoErr(err)
+	is.Equal(len(update.Events), 1)
+	store.Inject(nil)
+	put(t, store, "a/y")
+	time.Sleep(time.Second)
+	update, ok, err = f.follower.Follow(t.Context(), prefix, known)
+	is.True(ok) // asked again soon
+	is.NoErr(err)
+	is.Equal(len(update.Events), 1)
+}
+
 // loseStore takes the store away from the readers until their copies are too old.
 func (f *testFleet) loseStore(store *kvmemory.Store) {
 	store.Inject(func(string) kvmemory.Fault { return kvmemory.FaultRefused })
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -3,12 +3,9 @@
 package mirror
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"log/slog"
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,9 +21,6 @@
 // LivePrefix is the prefix of the few keys that every host mirrors.
 const LivePrefix = "nutmegway/live/"
 
-// DefaultMaxAge is the MaxAge of a mirror that has none.
-const DefaultMaxAge = 3 * time.Second
-
 const (
 	// initialRetryDelay and maxRetryDelay bound the back-off after a failed call.
 	// The maximum keeps the calls of hundreds of hosts far below the rate limit of
@@ -283,7 +277,7 @@
 		m.confirm(m.diff(entries), revision, outageDuration(lostSince), m.delayOf(began), sent)
 		return m.Store.Watch(ctx, m.Prefix, revision)
 	}
-	batch, err := m.nextBatch(ctx, watcher, compacted)
+	batch, err := m.nextBatch(ctx, watcher, compacted, m.watchTimeout(!lostSince.IsZero()))
 	if err != nil {
 		return nil, err
 	}
@@ -337,83 +331,14 @@
 	return m.revision
 }
 
-// Since returns the changes after revision, for hosts that follow this one. It
-// waits for a change until ctx ends. On a host that has just started it also waits
-// for the first answer of the store. It returns false as soon as the last answer of the
-// store is older than MaxAge, also during the wait, or if ctx ends before the first answer.
-//
-// A host that has just read the store itself knows a later revision than this copy, which
-// learns the store's revision only with the next answer. Its age alone bounds when it knows
-// a later change, so such a host waits for it like the others.
-func (m *Mirror) Since(ctx context.Context, revision int64) (Update, bool) {
-	maxAge := cmp.Or(m.MaxAge, DefaultMaxAge)
-	for {
-		m.mu.Lock()
-		starting := !m.confirmation.known && m.revision == 0 && m.StaleLister != nil
-		rest := maxAge - m.confirmation.age()
-		if !starting && (!m.confirmation.known || rest < 0) {
-			m.mu.Unlock()
-			return Update{}, false
-		}
-		update, found := m.updateSince(revision)
-		found = found && !starting
-		if m.changed == nil {
-			m.changed = make(chan struct{})
-		}
-		changed := m.changed
-		m.mu.Unlock()
-		if found || ctx.Err() != nil {
-			return update, !starting
-		}
-		m.awaitChange(ctx, changed, starting, rest)
-	}
-}
-
-// awaitChange waits until changed is closed or ctx ends, and no longer than the copy stays
-// young enough, unless the host is starting.
-func (m *Mirror) awaitChange(ctx context.Context, changed <-chan struct{}, starting bool, rest time.Duration) {
-	var outdated <-chan time.Time
-	if !starting {
-		timer := time.NewTimer(rest + time.Millisecond)
-		defer timer.Stop()
-		outdated = timer.C
-	}
-	select {
-	case <-changed:
-	case <-ctx.Done():
-	case <-outdated:
-	}
-}
-
-// updateSince returns the changes after revision, or a snapshot if they are no
-// longer kept, and reports whether there are any. m.mu is held.
-func (m *Mirror) updateSince(revision int64) (Update, bool) {
-	update := Update{Revision: m.revision}
-	if m.asOf != 0 {
-		update.Age, update.AgeKnown = m.now().Sub(m.asOf), true
-	}
-	if revision == 0 || revision < m.recentFrom {
-		update.Reset = true
-		for _, key := range slices.Sorted(maps.Keys(m.entries)) {
-			update.Events = append(update.Events, kv.Event{Entry: m.entries[key]})
-		}
-		return update, true
-	}
-	for _, event := range m.recent {
-		if event.Entry.ModRevision > revision {
-			update.Events = append(update.Events, event)
-		}
-	}
-	return update, len(update.Events) > 0
-}
-
-// nextBatch waits for one batch of watcher. It fails with kv.ErrCompacted as soon
-// as any mirror of the process has learned that the history was compacted.
-func (m *Mirror) nextBatch(ctx context.Context, watcher kv.Watcher, compacted <-chan struct{}) (kv.Batch, error) {
+// nextBatch waits for one batch of watcher, for a limited time unless timeout is zero. It
+// fails with kv.ErrCompacted as soon as any mirror of the process has learned that the
+// history was compacted.
+func (m *Mirror) nextBatch(ctx context.Context, watcher kv.Watcher, compacted <-chan struct{}, timeout time.Duration) (kv.Batch, error) {
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if m.WatchTimeout > 0 {
-		watchCtx, cancel = context.WithTimeout(watchCtx, m.WatchTimeout)
+	if timeout > 0 {
+		watchCtx, cancel = context.WithTimeout(watchCtx, timeout)
 		defer cancel()
 	}
 	var group errgroup.Group
@@ -448,26 +373,6 @@
 	return time.Since(lostSince)
 }
 
-// diff returns the events that turn the copy into entries.
-func (m *Mirror) diff(entries []kv.Entry) []kv.Event {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var events []kv.Event
-	present := make(map[string]struct{}, len(entries))
-	for _, entry := range entries {
-		present[entry.Key] = struct{}{}
-		if m.entries[entry.Key].ModRevision != entry.ModRevision {
-			events = append(events, kv.Event{Entry: entry})
-		}
-	}
-	for key := range m.entries {
-		if _, ok := present[key]; !ok {
-			events = append(events, kv.Event{Delete: true, Entry: kv.Entry{Key: key}})
-		}
-	}
-	return events
-}
-
 // apply applies events that did not come from the store itself. asOf is the instant of which
 // they complete the state, or zero.
 func (m *Mirror) apply(events []kv.Event, revision int64, outage time.Duration, asOf boottime.Instant) {
@@ -478,27 +383,6 @@
 	m.notify(events, outage, asOf)
 }
 
-// confirmation tells when the store itself last answered. Times include those during which
-// the process stood still.
-type confirmation struct {
-	at elapsed.Mark
-	// delay is how old the answer was at least when it was read.
-	delay time.Duration
-	known bool
-}
-
-// age returns the time since the answer.
-func (c confirmation) age() time.Duration { return c.at.Since(nil) + c.delay }
-
-// delayOf returns how old an answer of the store to a call that began at began is at least.
-// The store answers within WatchTimeout; a later answer has waited to be read.
-func (m *Mirror) delayOf(began elapsed.Mark) time.Duration {
-	if m.WatchTimeout == 0 {
-		return 0
-	}
-	return max(began.Since(nil)-m.WatchTimeout, 0)
-}
-
 // confirm applies events from the store itself and records the time of its answer, which
 // was read after delay. sent is when the call was made.
 func (m *Mirror) confirm(events []kv.Event, revision int64, outage, delay time.Duration, sent boottime.Instant) {
@@ -529,57 +413,10 @@
 	}
 }
 
-// DeliveredAge returns at most how old the state is that OnChange has received: the time since
-// the call was sent that the store answered with it, on this host or on the one that this host
-// follows. It returns false if that isn't known.
-func (m *Mirror) DeliveredAge() (time.Duration, bool) {
-	asOf := m.deliveredAsOf.Load()
-	if asOf == 0 {
-		return 0, false
-	}
-	return m.now().Sub(boottime.Instant(asOf)), true
-}
-
 // Delivered reports whether OnChange has received the first list. An empty list counts,
 // although OnChange is not called for it.
 func (m *Mirror) Delivered() bool { return m.delivered.Load() }
 
-// merge applies events to the copy and advances it to revision. m.mu is held.
-func (m *Mirror) merge(events []kv.Event, revision int64) {
-	if m.entries == nil {
-		m.entries = make(map[string]kv.Entry)
-		m.recentFrom = revision
-	}
-	for _, event := range events {
-		if event.Delete {
-			delete(m.entries, event.Entry.Key)
-		} else {
-			m.entries[event.Entry.Key] = event.Entry
-		}
-		if event.Entry.ModRevision == 0 {
-			// A list does not show the revision at which a key was deleted.
-			event.Entry.ModRevision = revision
-		}
-		m.recent = append(m.recent, event)
-	}
-	if excess := len(m.recent) - maxRecentEvents; excess > 0 {
-		m.recentFrom = m.recent[excess-1].Entry.ModRevision
-		m.recent = slices.Delete(m.recent, 0, excess)
-	}
-	m.revision = max(m.revision, revision)
-	if m.changed != nil && len(events) > 0 {
-		close(m.changed)
-		m.changed = nil
-	}
-}
-
-func (m *Mirror) now() boottime.Instant {
-	if m.Now != nil {
-		return m.Now()
-	}
-	return boottime.Now()
-}
-
 // Entry returns the entry of key and reports whether the copy holds one.
 func (m *Mirror) Entry(key string) (kv.Entry, bool) {
 	m.mu.Lock()
--- a/internal/fleet/mirror/silent_test.go
+++ b/internal/fleet/mirror/silent_test.go
@@ -186,6 +186,84 @@
 	})
 }
 
+// TestReaderStaysFreshAfterOneSilentWatch has a store that leaves one watch without an answer.
+// If the next watch took its whole time, all followers would read the store themselves.
+func TestReaderStaysFreshAfterOneSilentWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &silentStore{Store: &kvmemory.Store{}}
+		put(t, store, "p/0", "a")
+		reader := &mirror.Mirror{MaxAge: maxAge, Prefix: "p/", Store: store, WatchTimeout: watchTimeout}
+		stop := start(t, reader)
+		defer stop()
+		time.Sleep(5 * time.Second)
+		store.setSilent(true)
+		for watch := store.lastWatch(); store.lastWatch().Equal(watch); {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(watchTimeout - 10*time.Millisecond)
+		store.setSilent(false)
+		refused := 0
+		for range 500 {
+			if !isFresh(reader) {
+				refused++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(refused <= 10) // until the second short watch at most
+	})
+}
+
+// TestNewReaderIsSoonFresh has a host that followed a reader and becomes one. Its followers
+// read the store themselves until the store has answered it.
+func TestNewReaderIsSoonFresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &kvmemory.Store{}
+		put(t, store, "p/0", "a")
+		old := &mirror.Mirror{MaxAge: maxAge, Prefix: "p/", Store: &silentStore{Store: store}, WatchTimeout: watchTimeout}
+		source := &leavingSource{mirrorSource: mirrorSource{mirror: old}}
+		heir := &mirror.Mirror{MaxAge: maxAge, Prefix: "p/", Source: source, Store: &silentStore{Store: store}, WatchTimeout: watchTimeout}
+		stop := start(t, old, heir)
+		defer stop()
+		time.Sleep(10 * time.Second)
+		is.True(!isFresh(heir)) // the store has not answered it for long
+		source.gone.Store(true)
+		for !source.left.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(300 * time.Millisecond) // a short watch
+		for range 300 {
+			is.True(isFresh(heir))
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+}
+
+// isFresh reports whether hosts may rely on the copy now.
+func isFresh(m *mirror.Mirror) bool {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, ok := m.Since(ctx, 1<<40)
+	return ok
+}
+
+// leavingSource is a reader until it has gone.
+type leavingSource struct {
+	mirrorSource
+
+	// left is set once the host has noticed that the reader has gone.
+	gone, left atomic.Bool
+}
+
+func (s *leavingSource) Follow(ctx context.Context, prefix string, revision int64) (mirror.Update, bool, error) {
+	if s.gone.Load() {
+		s.left.Store(true)
+		return mirror.Update{}, false, nil
+	}
+	return s.mirrorSource.Follow(ctx, prefix, revision)
+}
+
 // returningSource is a reader that is unreachable for a while.
 type returningSource struct {
 	mirrorSource
