Decide when requests leave their availability zone, and how many

Single requests went to the server with the least load, with a surcharge for another zone, so that 40 in 100 left zones that were 0.4 full. Now a host lets a request leave only if that saves more than half of the time for which it runs, and beyond that as large a share as it gains; those that leave are divided by what each other zone offers. Zones that are as full get none. It acts where the servers of a service are in several zones.

--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -246,13 +246,14 @@
 	if isolated {
 		candidates = x.withOpenConnection(candidates)
 	}
-	candidate, ok := x.attempts.chooseServer(candidates)
+	candidate, spill, ok := x.attempts.chooseServer(candidates)
 	if !ok || !x.attempts.mayStart() || !x.mayContinue() {
 		if x.mayRelayUnreached() {
 			x.startRelay(ctx)
 		}
 		return
 	}
+	x.recordSpillover(ctx, x.service, spill, candidate.Zone)
 	x.attempts.recordStart(candidate.ID)
 	x.unanswered[candidate.ID] = x.newIncident(candidate.Server, false)
 	x.group.Go(func() error {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -116,6 +116,8 @@
 	inFlight atomic.Int64
 	metrics  instruments
 	once     sync.Once
+	// spillovers bounds the log lines about requests that leave the zone.
+	spillovers spilloverLog
 }
 
 // answer is the outcome of one attempt at one server.
--- a/internal/request/forward/instruments.go
+++ b/internal/request/forward/instruments.go
@@ -15,6 +15,8 @@
 	requests metric.Int64Counter
 	duration metric.Float64Histogram
 	attempts metric.Int64Counter
+	// spillovers counts the attempts for which leaving the zone was decided.
+	spillovers metric.Int64Counter
 }
 
 func newInstruments(logger *slog.Logger) instruments {
@@ -34,7 +36,12 @@
 	if err != nil {
 		logger.Error("cannot create metric", slog.Any("error", err))
 	}
-	return instruments{requests: requests, duration: seconds, attempts: tries}
+	spillovers, err := meter.Int64Counter("nutmegway.forward.zones",
+		metric.WithDescription("Tries of single requests by where they went, home or away, and why they stayed or left."))
+	if err != nil {
+		logger.Error("cannot create metric", slog.Any("error", err))
+	}
+	return instruments{requests: requests, duration: seconds, attempts: tries, spillovers: spillovers}
 }
 
 // The outcomes of attempts, as values of a metric label.
@@ -56,6 +63,17 @@
 	}
 }
 
+func (i instruments) countSpillover(ctx context.Context, reason string, leaves bool) {
+	if i.spillovers == nil {
+		return
+	}
+	zone := "home"
+	if leaves {
+		zone = "away"
+	}
+	i.spillovers.Add(ctx, 1, metric.WithAttributes(attribute.String("reason", reason), attribute.String("zone", zone)))
+}
+
 func (i instruments) count(ctx context.Context, outcome string, took time.Duration) {
 	if i.requests == nil || i.duration == nil {
 		return
--- a/internal/request/forward/policy.go
+++ b/internal/request/forward/policy.go
@@ -10,6 +10,7 @@
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/base/rendezvous"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
+	"github.com/nutmegway/nutmegway/internal/request/spillover"
 )
 
 const (
@@ -125,9 +126,10 @@
 	return a.mayHaveRun+a.pending < limit && a.notRun < limit*maxRefusalsPerAttempt
 }
 
-// chooseServer returns the server for the next attempt.
-func (a *attempts) chooseServer(candidates []inventory.Candidate) (inventory.Candidate, bool) {
-	return a.chooser.Choose(candidates, a.tried)
+// chooseServer returns the server for the next attempt, and the decision on leaving the
+// availability zone, which is nil if the servers are in one zone.
+func (a *attempts) chooseServer(candidates []inventory.Candidate) (inventory.Candidate, *spillover.Decision, bool) {
+	return a.chooser.ChooseNear(candidates, a.tried, rand.Float64())
 }
 
 // Chooser chooses servers for the single requests of one host.
@@ -164,6 +166,55 @@
 	return candidates[best], true
 }
 
+// ChooseNear returns a server in the host's availability zone, or in another one if leaving
+// pays, for a request that has not tried the servers in tried. sample is a random number in
+// [0, 1). The decision is nil if all servers that take new work are in one zone.
+func (c Chooser) ChooseNear(
+	candidates []inventory.Candidate, tried map[string]struct{}, sample float64,
+) (inventory.Candidate, *spillover.Decision, bool) {
+	zones := zonesOf(candidates, tried)
+	if len(zones) < 2 {
+		candidate, ok := c.Choose(candidates, tried)
+		return candidate, nil, ok
+	}
+	decision := spillover.Decide(c.Zone, zones)
+	zone := decision.Choose(sample)
+	var near []inventory.Candidate
+	for _, candidate := range candidates {
+		if candidate.Zone == zone && isUsable(candidate) {
+			near = append(near, candidate)
+		}
+	}
+	candidate, ok := Chooser{Self: c.Self, Zone: zone}.Choose(near, tried)
+	if !ok {
+		candidate, ok = c.Choose(candidates, tried)
+	}
+	return candidate, &decision, ok
+}
+
+// isUsable reports whether a server is as good as others for a new request.
+func isUsable(candidate inventory.Candidate) bool {
+	return !candidate.BackingOff && !candidate.RequestLimit.Named
+}
+
+// zonesOf returns the availability zones of the usable servers that have not been tried.
+func zonesOf(candidates []inventory.Candidate, tried map[string]struct{}) []spillover.Zone {
+	var zones []spillover.Zone
+	for _, candidate := range candidates {
+		if _, ok := tried[candidate.ID]; ok || !isUsable(candidate) {
+			continue
+		}
+		i := slices.IndexFunc(zones, func(z spillover.Zone) bool { return z.Name == candidate.Zone })
+		if i < 0 {
+			i = len(zones)
+			zones = append(zones, spillover.Zone{Name: candidate.Zone})
+		}
+		zones[i].Slots += candidate.Slots
+		zones[i].Requests += max(candidate.InFlight, candidate.ReportedRequests)
+	}
+	return zones
+}
+
 // preferredServer returns the id of the server that this host prefers. It is in the host's
 // availability zone if the zone has a candidate.
 func (c Chooser) preferredServer(candidates []inventory.Candidate) string {
