List configurations that grow old, and test the age of copies

Cause: after an outage of the store a host waited for a whole watch before it knew a fresh copy; relayed watches of less than half a second had no time at all. Change: a mirror whose copy is older than 0.62 of the revocation bound lists instead of watching; watches of the operators' keys leave room for an answer of a slow store.

--- a/internal/entry/host/accounts.go
+++ b/internal/entry/host/accounts.go
@@ -21,8 +21,11 @@
 	// keyWatchShare is the longest time of one watch of the store, and keyPollShare that of one
 	// poll of another host, as shares of the same bound. A copy is at most twice as old as
 	// both together while all answer, and a failed call can be repeated in time.
-	keyWatchShare = 0.2
-	keyPollShare  = 0.14
+	keyWatchShare = 0.27
+	keyPollShare  = 0.1
+	// keyListShare is the age of the configuration, as a share of the same bound, from which it
+	// is read instead of waiting for a change.
+	keyListShare = 0.62
 )
 
 // setUpAccounts creates the gate of requests with API keys.
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -336,6 +336,7 @@
 	}
 	if bound := h.Settings.RevocationBound; bound > 0 {
 		operators.WatchTimeout = min(operators.WatchTimeout, share(keyWatchShare, bound))
+		operators.ListAge = share(keyListShare, bound)
 	}
 	mirrors := []*mirror.Mirror{operators, servers, h.liveMirror}
 	compaction := new(mirror.CompactionSignal)
--- a/internal/external/kvrelay/kvrelay.go
+++ b/internal/external/kvrelay/kvrelay.go
@@ -314,7 +314,8 @@
 	}, func(ctx context.Context, client kvrelaypb.RelayClient) (*kvrelaypb.Failure, error) {
 		wait := relayedWatchWait
 		if deadline, ok := ctx.Deadline(); ok {
-			wait = min(wait, max(time.Until(deadline)-relayedWatchMargin, time.Millisecond))
+			left := time.Until(deadline)
+			wait = min(wait, max(left-relayedWatchMargin, left/2, time.Millisecond))
 		}
 		reply, err := client.Watch(ctx, &kvrelaypb.WatchRequest{
 			Prefix: w.prefix, Revision: w.revision, WaitMillis: wait.Milliseconds(),
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -122,7 +122,10 @@
 	// CoalesceDelay is the pause after a change, so that changes in quick succession
 	// arrive in one call. Zero means no pause.
 	CoalesceDelay time.Duration
-	Logger        *slog.Logger
+	// ListAge is the age of the copy from which the mirror lists the store, which answers at
+	// once, instead of waiting for a change. Zero means never.
+	ListAge time.Duration
+	Logger  *slog.Logger
 	// StaleLister provides the first list, which may be some seconds old. If it is
 	// nil, Source or Store provides it.
 	StaleLister StaleLister
@@ -275,7 +278,7 @@
 		return m.Store.Watch(ctx, m.Prefix, m.currentRevision())
 	}
 	sent := m.now()
-	if watcher == nil {
+	if watcher == nil || m.isOverdue() {
 		entries, revision, err := m.Store.List(ctx, m.Prefix)
 		if err != nil {
 			return nil, err
@@ -567,6 +570,15 @@
 	}
 }
 
+// isOverdue reports whether the age of the copy is unknown or beyond ListAge.
+func (m *Mirror) isOverdue() bool {
+	if m.ListAge == 0 {
+		return false
+	}
+	age, known := m.DeliveredAge()
+	return !known || age > m.ListAge
+}
+
 func (m *Mirror) now() boottime.Instant {
 	if m.Now != nil {
 		return m.Now()
