--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -116,7 +116,10 @@
 	// CoalesceDelay is the pause after a change, so that changes in quick succession
 	// arrive in one call. Zero means no pause.
 	CoalesceDelay time.Duration
-	Logger        *slog.Logger
+	// ListAge is the age of the copy from which the mirror lists the store, which answers at
+	// once, instead of waiting for a change. Zero means never.
+	ListAge time.Duration
+	Logger  *slog.Logger
 	// StaleLister provides the first list, which may be some seconds old. If it is
 	// nil, Source or Store provides it.
 	StaleLister StaleLister
@@ -269,7 +272,7 @@
 		return m.Store.Watch(ctx, m.Prefix, m.currentRevision())
 	}
 	sent := m.now()
-	if watcher == nil {
+	if watcher == nil || m.isOverdue() {
 		entries, revision, err := m.Store.List(ctx, m.Prefix)
 		if err != nil {
 			return nil, err
@@ -417,6 +420,15 @@
 // although OnChange is not called for it.
 func (m *Mirror) Delivered() bool { return m.delivered.Load() }
 
+// isOverdue reports whether the age of the copy is unknown or beyond ListAge.
+func (m *Mirror) isOverdue() bool {
+	if m.ListAge == 0 {
+		return false
+	}
+	age, known := m.DeliveredAge()
+	return !known || age > m.ListAge
+}
+
 // Entry returns the entry of key and reports whether the copy holds one.
 func (m *Mirror) Entry(key string) (kv.Entry, bool) {
 	m.mu.Lock()
