Bound the memory and connections that callers make a host hold

Cause: each request was bounded, their sum wasn't. Bodies, heads, what JSON makes of a batch and unread answers added up to gigabytes from some dozens of connections, and the directory, the readiness probe and the links between hosts took connections without a bound.

Change: internal/request/intake. All HTTP listeners of a host share 0.4 of limits.memoryMb; memory is taken before it is used, and a connection that holds most and has moved least is ended when memory is short, never one whose request may have run. Heads beyond what the configuration's limit allows are cut off before net/http decodes them. The command sets the runtime's memory limit to 0.75 of limits.memoryMb.

Not covered: the sum of messages on links between hosts, nutmegway serve, kept results.

--- a/cmd/nutmegway/hostcmd.go
+++ b/cmd/nutmegway/hostcmd.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -32,6 +33,9 @@
 	defaultMetricsPort = "9464"
 	// logLinesPerSecond limits the log output of one process.
 	logLinesPerSecond = 400
+	// heapShare is the share of the process's memory up to which garbage may stay. The rest is
+	// for the program itself and what the runtime doesn't count.
+	heapShare = 0.75
 	// With keepAliveInterval and keepAliveProbes, the kernel detects a dead connection
 	// to a backend server within three seconds.
 	keepAliveInterval = time.Second
@@ -63,6 +67,9 @@
 func runHost(ctx context.Context, path string, settings host.Settings, level slog.Level, stdout io.Writer) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryBytes)))
+	}
 	out := &telemetry.BoundedWriter{LinesPerSecond: logLinesPerSecond, Writer: stdout}
 	stopLog := out.Start()
 	defer stopLog()
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -34,6 +34,7 @@
 	"github.com/nutmegway/nutmegway/internal/fleet/software"
 	"github.com/nutmegway/nutmegway/internal/request/forward"
 	"github.com/nutmegway/nutmegway/internal/request/forwardlink"
+	"github.com/nutmegway/nutmegway/internal/request/intake"
 	"github.com/nutmegway/nutmegway/internal/request/origin"
 	"github.com/nutmegway/nutmegway/internal/request/permit"
 	"github.com/nutmegway/nutmegway/internal/request/permitlink"
@@ -123,6 +124,7 @@
 	forwardServer      *forwardlink.Server
 	links              *peer.Links
 	gate               *permit.Gate
+	intake             *intake.Budget
 	leavingBroadcaster *leaving.Broadcaster
 	loadController     *loading.Controller
 	inventory          *inventory.Inventory
@@ -148,8 +150,8 @@
 // SetUp creates the components of the host. It must be called before Run.
 func (h *Host) SetUp() {
 	incarnation := uuid.NewString()
-	h.drain = make(chan struct{})
-	h.stopTime = &stopTime{reached: make(chan struct{})}
+	h.drain, h.stopTime = make(chan struct{}), &stopTime{reached: make(chan struct{})}
+	h.intake = h.newIntake()
 	h.inventory = &inventory.Inventory{DrainBound: h.Settings.DrainBound}
 	h.peers = &peer.Pool{Options: peer.LocalDialOptions()}
 	h.store = h.DirectStore
@@ -247,7 +249,7 @@
 	h.runner.Start(group)
 	mirrors := h.mirrors()
 	if h.Settings.PeerAddress != "" {
-		server := &peer.Server{Address: h.Settings.PeerAddress, Logger: h.Logger, Register: func(s *grpc.Server) {
+		server := &peer.Server{Address: h.Settings.PeerAddress, Logger: h.Logger, Listener: h.measurePeers, Register: func(s *grpc.Server) {
 			batchlink.Register(s, h.Batches)
 			follow.Register(s, mirrors)
 			kvrelay.Register(s, h.relayStore)
@@ -443,6 +445,9 @@
 	if h.leaving.Load() {
 		return kind.New(kind.Leaving, "the host is leaving").WithRetryAfter(notReadyRetryAfter)
 	}
+	if err := h.intake.CheckWork(b.HeldBytes()); err != nil {
+		return err
+	}
 	return h.Batches.Submit(ctx, b)
 }
 
--- a/internal/entry/host/limits.go
+++ b/internal/entry/host/limits.go
@@ -2,38 +2,37 @@
 
 import (
 	"errors"
-	"io"
-	"log/slog"
-	"net"
 	"net/http"
 	"os"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
+	"github.com/nutmegway/nutmegway/internal/request/intake"
 )
 
 const (
-	// maxHeaderBytes bounds the header of a request. Configurations set lower limits, which
-	// the host doesn't enforce.
+	// maxHeaderBytes bounds the header of a request before a configuration has set a limit.
 	maxHeaderBytes = 256 << 10
 	// defaultMaxBodyBytes bounds a body if the configuration sets no limit.
 	defaultMaxBodyBytes = 32 << 20
 	// bodyTimeout bounds the time to read a body. Callers wait less than this for an
 	// answer, so it only ends requests whose caller has given up.
 	bodyTimeout = 30 * time.Second
-	// callerDescriptorShare is the share of the file descriptors that callers'
-	// connections may take. The rest is for backend servers, other hosts and the store.
-	callerDescriptorShare = 0.5
-	// refusalLogInterval is the shortest time between two log lines on refused connections.
-	refusalLogInterval = time.Second
+	// callerDescriptorShare, peerDescriptorShare and auxiliaryDescriptorShare are the shares
+	// of the file descriptors that the connections of callers, of other hosts and of each other
+	// listener may take. Each request of a caller needs another one for its backend server.
+	callerDescriptorShare    = 0.4
+	peerDescriptorShare      = 0.25
+	auxiliaryDescriptorShare = 0.0625
+	// intakeShare is the share of the process's memory that callers may make it hold. The rest
+	// is for what the host knows of the deployment and for collecting garbage.
+	intakeShare = 0.4
 )
 
 // ReadBody reads the body of a caller's request. A body that is longer than
-// limits.BodyBytes or takes longer than bodyTimeout is an error. All errors say that the
-// request has not run.
+// limits.BodyBytes or takes longer than bodyTimeout is an error, and so is one for which the
+// host has no memory. All errors say that the request has not run.
 func ReadBody(w http.ResponseWriter, r *http.Request, limits config.Limits) ([]byte, error) {
 	limit := int64(defaultMaxBodyBytes)
 	if limits.BodyBytes > 0 {
@@ -45,9 +44,11 @@
 	controller := http.NewResponseController(w)
 	// The body is read without a deadline if the writer supports none, as in tests.
 	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	body, err := intake.ReadAll(intake.FromContext(r.Context()), r.Body, r.ContentLength, limit)
 	_ = controller.SetReadDeadline(time.Time{})
 	switch {
+	case kind.Is(err, kind.Unavailable):
+		return nil, err
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, kind.New(kind.DeadlineUnmet, "the body was not complete after %s: got %d bytes", bodyTimeout, len(body))
 	case err != nil:
@@ -58,55 +59,26 @@
 	return body, nil
 }
 
-// limitedListener closes new connections beyond a limit at once, so that idle
-// connections never take the file descriptors that requests need.
-type limitedListener struct {
-	net.Listener
-
-	limit  int64
-	logger *slog.Logger
-
-	open       atomic.Int64
-	mu         sync.Mutex
-	lastLogged time.Time
-}
-
-// Accept implements net.Listener.
-func (l *limitedListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if l.open.Add(1) <= l.limit {
-			return &limitedConn{Conn: conn, listener: l}, nil
-		}
-		l.open.Add(-1)
-		_ = conn.Close() // No request is lost: nothing was read from the connection.
-		l.logRefusal()
+// newIntake returns the memory that callers share.
+func (h *Host) newIntake() *intake.Budget {
+	return &intake.Budget{
+		Bytes: int64(intakeShare * float64(h.Settings.MemoryBytes)), HeadBytes: h.headBytes, Logger: h.Logger,
+		Work: func() int64 { return h.runner.HeldBytes() },
 	}
 }
 
-// logRefusal logs a refused connection, at most once in refusalLogInterval.
-func (l *limitedListener) logRefusal() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now := time.Now(); now.Sub(l.lastLogged) >= refusalLogInterval {
-		l.lastLogged = now
-		l.logger.Warn("caller connections refused at limit", slog.Int64("open", l.open.Load()), slog.Int64("limit", l.limit))
+// headBytes returns how long the head of a request may be.
+func (h *Host) headBytes() int {
+	if c := h.config.Load(); c != nil && c.Limits.HeaderBytes > 0 {
+		return c.Limits.HeaderBytes
 	}
+	return maxHeaderBytes
 }
 
-// limitedConn is a connection that counts towards its listener's limit until it closes.
-type limitedConn struct {
-	net.Conn
-
-	listener *limitedListener
-	once     sync.Once
-}
-
-// Close implements net.Conn.
-func (c *limitedConn) Close() error {
-	c.once.Do(func() { c.listener.open.Add(-1) })
-	return c.Conn.Close()
+// descriptors returns the part of the file descriptors for a listener, or zero if it is unbounded.
+func (s Settings) descriptors(part float64) int {
+	if s.MaxDescriptors == 0 {
+		return 0
+	}
+	return max(int(part*float64(s.MaxDescriptors)), 1)
 }
--- a/internal/entry/host/listeners.go
+++ b/internal/entry/host/listeners.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegway/nutmegway/internal/request/intake"
 )
 
 const (
@@ -31,14 +33,14 @@
 // out.
 func (h *Host) listen(ctx context.Context, group *errgroup.Group) (*listeners, error) {
 	l := &listeners{logger: h.Logger}
-	l.callers = newServer(h.closeWhenLeaving(h.Callers))
+	l.callers = h.newServer(h.closeWhenLeaving(h.Callers))
 	servers := []struct {
 		address string
 		server  *http.Server
 	}{
 		{h.Settings.CallerAddress, l.callers},
-		{h.Settings.DirectoryAddress, newServer(h.Directory)},
-		{h.Settings.ReadyAddress, newServer(h.Readiness)},
+		{h.Settings.DirectoryAddress, h.newServer(h.Directory)},
+		{h.Settings.ReadyAddress, h.newServer(h.Readiness)},
 	}
 	for _, s := range servers {
 		if s.address == "" {
@@ -52,11 +54,11 @@
 		if s.server != l.callers {
 			l.auxiliary = append(l.auxiliary, s.server)
 		}
-		if s.server == l.callers && h.Settings.MaxDescriptors > 0 {
-			listener = &limitedListener{
-				Listener: listener, limit: int64(callerDescriptorShare * float64(h.Settings.MaxDescriptors)), logger: h.Logger,
-			}
+		part := auxiliaryDescriptorShare
+		if s.server == l.callers {
+			part = callerDescriptorShare
 		}
+		listener = h.measure(listener, part)
 		group.Go(func() error {
 			if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				return classError.Wrap(err)
@@ -81,7 +83,8 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", h.Metrics)
-	server := newServer(mux)
+	server := h.newServer(mux)
+	listener = h.measure(listener, auxiliaryDescriptorShare)
 	l.auxiliary = append(l.auxiliary, server)
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -91,11 +94,26 @@
 	})
 }
 
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{
+// measure returns a listener whose connections share the host's memory for callers, and take at
+// most a part of its file descriptors.
+func (h *Host) measure(listener net.Listener, part float64) net.Listener {
+	return &intake.Listener{Listener: listener, Budget: h.intake, MaxConnections: h.Settings.descriptors(part)}
+}
+
+// measurePeers does the same for connections of other hosts, of which only the number counts.
+func (h *Host) measurePeers(listener net.Listener) net.Listener {
+	return &intake.Listener{
+		Listener: listener, Budget: h.intake, MaxConnections: h.Settings.descriptors(peerDescriptorShare), Unmeasured: true,
+	}
+}
+
+func (h *Host) newServer(handler http.Handler) *http.Server {
+	server := &http.Server{
 		Handler: handler, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout,
 		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
 	}
+	h.intake.Configure(server)
+	return server
 }
 
 // closeWhenLeaving asks callers to close their connections once the host is leaving.
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -31,6 +31,8 @@
 type Server struct {
 	// Address is the address to listen on.
 	Address string
+	// Listener, if not nil, returns the listener to use in place of the one at Address.
+	Listener func(net.Listener) net.Listener
 	// Logger receives a record of each recovered panic. If it is nil, panics are
 	// recovered without a record.
 	Logger *slog.Logger
@@ -44,6 +46,9 @@
 	if err != nil {
 		return classError.Wrap(err)
 	}
+	if s.Listener != nil {
+		listener = s.Listener(listener)
+	}
 	server := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.UnaryInterceptor(s.recoverPanics), grpc.StreamInterceptor(s.recoverStreamPanics))
 	s.Register(server)
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -25,6 +25,7 @@
 	"github.com/nutmegway/nutmegway/internal/backend/plain"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
+	"github.com/nutmegway/nutmegway/internal/request/intake"
 	"github.com/nutmegway/nutmegway/internal/request/origin"
 	"github.com/nutmegway/nutmegway/internal/request/poison"
 )
@@ -187,6 +188,7 @@
 		return err
 	}
 	defer final.close()
+	intake.FromContext(ctx).Charge(int64(len(final.head)))
 	f.metrics.count(ctx, "answered", time.Since(request.Arrived))
 	x.recordOrigin(final)
 	if recorder, ok := w.(ServerRecorder); ok {
--- a/internal/rollout/batch/batch.go
+++ b/internal/rollout/batch/batch.go
@@ -67,6 +67,24 @@
 	TargetGroups int `json:"target-groups"`
 }
 
+// itemBytes is what an item holds beside its texts while it runs.
+const itemBytes = 1 << 10
+
+// HeldBytes returns about what the batch holds while it runs.
+func (b Batch) HeldBytes() int64 {
+	total := 0
+	for _, item := range b.Items {
+		total += itemBytes + len(item.Body) + len(item.Group) + len(item.ID) + len(item.Target)
+		for name, value := range item.Header {
+			total += len(name) + len(value)
+		}
+		if item.Reward != nil {
+			total += len(item.Reward.Body)
+		}
+	}
+	return int64(total)
+}
+
 // Result is the outcome of one item.
 type Result struct {
 	Item string `json:"item"`
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -67,6 +67,8 @@
 // batchRun is a batch that this host owns and runs. The fields from changed on are
 // guarded by the runner's mutex, unless noted otherwise.
 type batchRun struct {
+	// bytes is the memory that the batch holds.
+	bytes int64
 	batch batch.Batch
 	// byID maps item IDs to indexes in items.
 	byID   map[string]int
@@ -107,7 +109,7 @@
 // of an earlier owner. The caller holds the runner's mutex.
 func newRun(r *Runner, head batch.Head, b batch.Batch, stored []batch.Result, partials []batch.Partial) *batchRun {
 	br := &batchRun{
-		batch: b, byID: make(map[string]int, len(b.Items)), changed: make(chan struct{}),
+		batch: b, bytes: b.HeldBytes(), byID: make(map[string]int, len(b.Items)), changed: make(chan struct{}),
 		unfinishedInGroup: make(map[string]int), head: head, stored: stored, appendSignal: make(chan struct{}, 1), runner: r,
 	}
 	now := time.Now()
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -10,6 +10,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -75,7 +76,9 @@
 	// finishing is set once this host accepts no new batches.
 	finishing bool
 	group     *errgroup.Group
-	metrics   instruments
+	// held is the memory of the batches in runs.
+	held    atomic.Int64
+	metrics instruments
 	// rewards holds the reward calls that have no answer yet.
 	rewards reward.Queue[*pendingScore]
 	// runs holds the batches that this host runs, by ID.
@@ -179,6 +182,7 @@
 	br := newRun(r, head, b, stored, partials)
 	br.ctx, br.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	r.runs[head.ID] = br
+	r.held.Add(br.bytes)
 	r.closed.remove(head.ID)
 	br.queueRewards()
 	r.Logger.LogAttrs(ctx, slog.LevelInfo, "batch adopted", slog.String("batch", head.ID),
@@ -191,6 +195,9 @@
 	r.wakeUp()
 }
 
+// HeldBytes returns the memory that the batches of this host hold.
+func (r *Runner) HeldBytes() int64 { return r.held.Load() }
+
 // Runs reports whether this host runs the batch.
 func (r *Runner) Runs(id string) bool {
 	r.mu.Lock()
@@ -221,6 +228,7 @@
 		return
 	}
 	delete(r.runs, head.ID)
+	r.held.Add(-br.bytes)
 	r.Index.Put(head)
 	r.cacheClosed(br, head)
 	br.cancel()
