--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -36,6 +36,7 @@
 	"github.com/nutmegway/nutmegway/internal/request/account"
 	"github.com/nutmegway/nutmegway/internal/request/forward"
 	"github.com/nutmegway/nutmegway/internal/request/forwardlink"
+	"github.com/nutmegway/nutmegway/internal/request/intake"
 	"github.com/nutmegway/nutmegway/internal/request/origin"
 	"github.com/nutmegway/nutmegway/internal/request/permit"
 	"github.com/nutmegway/nutmegway/internal/request/permitlink"
@@ -132,6 +133,7 @@
 	forwardServer      *forwardlink.Server
 	links              *peer.Links
 	gate               *permit.Gate
+	intake             *intake.Budget
 	leavingBroadcaster *leaving.Broadcaster
 	loadController     *loading.Controller
 	inventory          *inventory.Inventory
@@ -163,6 +165,7 @@
 func (h *Host) SetUp() {
 	incarnation := uuid.NewString()
 	h.drain, h.stopTime = make(chan struct{}), &stopTime{reached: make(chan struct{})}
+	h.intake = h.newIntake()
 	h.inventory = &inventory.Inventory{DrainBound: h.Settings.DrainBound}
 	h.peers = &peer.Pool{Options: peer.LocalDialOptions()}
 	h.store = h.DirectStore
@@ -260,7 +263,7 @@
 	h.runner.Start(group)
 	mirrors := h.mirrors()
 	if h.Settings.PeerAddress != "" {
-		server := &peer.Server{Address: h.Settings.PeerAddress, Logger: h.Logger, Register: func(s *grpc.Server) {
+		server := &peer.Server{Address: h.Settings.PeerAddress, Logger: h.Logger, Listener: h.measurePeers, Register: func(s *grpc.Server) {
 			batchlink.Register(s, h.Batches)
 			follow.Register(s, mirrors)
 			kvrelay.Register(s, h.relayStore)
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -10,6 +10,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -81,7 +82,9 @@
 	// finishing is set once this host accepts no new batches.
 	finishing bool
 	group     *errgroup.Group
-	metrics   instruments
+	// held is the memory of the batches in runs.
+	held    atomic.Int64
+	metrics instruments
 	// paces holds for how long items occupy slots, by service.
 	paces map[string]*pace
 	// rewards holds the reward calls that have no answer yet.
@@ -187,6 +190,7 @@
 	br := newRun(r, head, b, stored, partials)
 	br.ctx, br.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	r.runs[head.ID] = br
+	r.held.Add(br.bytes)
 	r.closed.remove(head.ID)
 	br.queueRewards()
 	r.Logger.LogAttrs(ctx, slog.LevelInfo, "batch adopted", slog.String("batch", head.ID),
@@ -199,6 +203,9 @@
 	r.wakeUp()
 }
 
+// HeldBytes returns the memory that the batches of this host hold.
+func (r *Runner) HeldBytes() int64 { return r.held.Load() }
+
 // Runs reports whether this host runs the batch.
 func (r *Runner) Runs(id string) bool {
 	r.mu.Lock()
@@ -229,6 +236,7 @@
 		return
 	}
 	delete(r.runs, head.ID)
+	r.held.Add(-br.bytes)
 	r.Index.Put(head)
 	r.cacheClosed(br, head)
 	br.cancel()
