--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -302,7 +302,9 @@
 		sent := time.Now()
 		ttl, err := h.keepAlive(ctx, id)
 		if err != nil {
-			h.warnStepFailed(ctx, "renew", err)
+			if pause == h.ttl()/renewDivisor { // The first of a series.
+				h.warnStepFailed(ctx, "renew", err)
+			}
 			pause = h.ttl() / retryDivisor
 			continue
 		}
--- a/internal/request/usage/instruments.go
+++ b/internal/request/usage/instruments.go
@@ -14,6 +14,7 @@
 	outcomeLate     = "late"
 	outcomeLost     = "lost"
 	outcomeOverdue  = "overdue"
+	outcomeRepeated = "repeated"
 	outcomeReported = "reported"
 )
 
@@ -25,13 +26,13 @@
 func newInstruments(logger *slog.Logger) instruments {
 	meter := otel.Meter("nutmegway/usage")
 	windows, err := meter.Int64Counter("nutmegway.usage.windows",
-		metric.WithDescription("Windows of usage by outcome: reported, overdue or lost."))
+		metric.WithDescription("Windows of usage by outcome: reported, repeated (a former holder may have reported it), overdue or lost."))
 	if err != nil {
 		logger.Error("cannot create metric", slog.Any("error", err))
 		return instruments{}
 	}
 	requests, err := meter.Int64Counter("nutmegway.usage.requests",
-		metric.WithDescription("Requests in windows of usage by outcome: reported, overdue, lost, or late for their window."))
+		metric.WithDescription("Requests in windows of usage by outcome: reported, repeated, overdue, lost, or late for their window."))
 	if err != nil {
 		logger.Error("cannot create metric", slog.Any("error", err))
 		return instruments{}
--- a/internal/request/usage/reporter.go
+++ b/internal/request/usage/reporter.go
@@ -51,8 +51,9 @@
 	// without a ledger.
 	started int64
 
-	// reportedTo is the last window that this host has reported.
-	reportedTo int64
+	// reportedTo is the last window that this host has reported, and adoptedTo the last one that
+	// a former holder has closed and may have reported.
+	reportedTo, adoptedTo int64
 
 	// The fields below belong to the present term.
 	term     duty.Term
@@ -117,6 +118,9 @@
 	for len(r.ledger.Pending) > 0 && r.ledger.Pending[0].Window <= r.reportedTo {
 		r.ledger.Pending = r.ledger.Pending[1:]
 	}
+	if len(r.ledger.Pending) > 0 {
+		r.adoptedTo = r.ledger.Pending[len(r.ledger.Pending)-1].Window
+	}
 	r.Collector.Close(r.ledger.Next)
 }
 
@@ -183,6 +187,8 @@
 		switch {
 		case err != nil:
 			outcome, level = outcomeLost, slog.LevelError
+		case window.Window <= r.adoptedTo:
+			outcome = outcomeRepeated
 		case age > r.Delay:
 			outcome, level = outcomeOverdue, slog.LevelWarn
 		}
