Serve large requests in calm, and answer heads that are too long

Cause (a review by reading): idle connections and running batches kept a large batch or a 32 MiB body from ever fitting into the budget; a request that waited for memory counted as stalled and was ended after a second; connections of other hosts took part in the bytes; the 431 was written after its deadline. Change: small holders use the reserve up, running work is taken off what a batch claims, waiting holders are ended only if they wait for each other, connections without requests count by number only, one that doesn't read its answer is ended last, nobody is ended if that can't suffice, and the 431 has 50 ms.

--- a/internal/request/intake/budget.go
+++ b/internal/request/intake/budget.go
@@ -116,7 +116,11 @@
 	b.setUp()
 	c := &Conn{Conn: conn, budget: b, measured: !l.Unmeasured}
 	c.holder.group = l
-	end, ok := b.ledger.admit(&c.holder, time.Now(), connectionBytes, l.MaxConnections)
+	held := int64(connectionBytes)
+	if l.Unmeasured {
+		held = 0
+	}
+	end, ok := b.ledger.admit(&c.holder, time.Now(), held, l.MaxConnections)
 	if !ok {
 		b.record(reasonConnections)
 		return nil, false
@@ -170,8 +174,9 @@
 	if b.ledger.take(&c.holder, n) {
 		return true, nil, nil
 	}
-	if b.ledger.ending() < n {
-		if worst := b.ledger.stalled(time.Now(), nil); worst != nil {
+	now := time.Now()
+	if ending := b.ledger.ending(); ending < n && b.ledger.free(&c.holder, n)+ending+b.ledger.endable(now) >= n {
+		if worst := b.ledger.stalled(now, nil); worst != nil {
 			b.end(worst, reasonMemory)
 		}
 	}
@@ -187,8 +192,8 @@
 	if taken || err != nil {
 		return err
 	}
-	b.addWaiting(1)
-	defer b.addWaiting(-1)
+	b.setWaiting(c, true)
+	defer b.setWaiting(c, false)
 	timeout := time.NewTimer(maxWait)
 	defer timeout.Stop()
 	ticker := time.NewTicker(waitInterval)
@@ -226,10 +231,15 @@
 	return errEnded
 }
 
-func (b *Budget) addWaiting(n int) {
+func (b *Budget) setWaiting(c *Conn, waiting bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.waiting += n
+	c.holder.waiting = waiting
+	if waiting {
+		b.waiting++
+	} else {
+		b.waiting--
+	}
 }
 
 // notify must be called with b.mu held, after memory was given back.
--- a/internal/request/intake/conn.go
+++ b/internal/request/intake/conn.go
@@ -17,6 +17,8 @@
 	// headSlack is how much longer than a configuration's limit a head may be, beside as much
 	// again for its first line.
 	headSlack = 4 << 10
+	// refusalTimeout bounds the write of the answer to a head that is too long.
+	refusalTimeout = 50 * time.Millisecond
 	// writeBytes is the size of the parts in which answers are written.
 	writeBytes = 64 << 10
 )
@@ -82,22 +84,36 @@
 // checkHead returns an error if the connection was ended or what it has sent of a head is too
 // long. The server doesn't read on once a head is complete, so only incomplete ones are too long.
 func (c *Conn) checkHead() error {
-	c.budget.mu.Lock()
-	defer c.budget.mu.Unlock()
-	if c.holder.ended {
+	switch {
+	case c.isEnded():
 		return os.ErrDeadlineExceeded
+	case !c.hasLongHead():
+		return nil
 	}
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_, _ = io.WriteString(c.Conn, tooLargeHead) // The connection closes either way.
+	return io.EOF
+}
+
+func (c *Conn) isEnded() bool {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	return c.holder.ended
+}
+
+// hasLongHead reports whether what has come of a head is too long, and records it.
+func (c *Conn) hasLongHead() bool {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
 	if !c.measured || c.inBody || c.budget.HeadBytes == nil {
-		return nil
+		return false
 	}
 	limit := c.budget.HeadBytes()
 	if limit <= 0 || c.headBytes <= 2*limit+headSlack && c.headLines <= limit/minLineBytes {
-		return nil
+		return false
 	}
 	c.budget.record(reasonHead)
-	_ = c.Conn.SetWriteDeadline(time.Now())
-	_, _ = io.WriteString(c.Conn, tooLargeHead) // The connection closes either way.
-	return io.EOF
+	return true
 }
 
 // received records what was read and returns the memory that it takes.
@@ -256,14 +272,18 @@
 	return c.budget.take(c, n)
 }
 
-// Room returns the most that the request may take.
+// Room returns the most that the request may take while no other one holds much.
 func (c *Conn) Room() int64 {
 	if c == nil {
 		return math.MaxInt64
 	}
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
-	return c.budget.ledger.room(&c.holder)
+	room := c.budget.ledger.room(&c.holder)
+	if c.budget.Work != nil {
+		room -= min(c.budget.Work(), c.budget.Bytes/2)
+	}
+	return max(room, 0)
 }
 
 // Charge records that the request holds n bytes more.
--- a/internal/request/intake/ledger.go
+++ b/internal/request/intake/ledger.go
@@ -44,8 +44,13 @@
 	moved      time.Time
 	phase      phase
 	sinceMoved int64
+	// waiting is set while the connection waits for memory.
+	waiting bool
 }
 
+// isSmall reports whether the holder holds no more than an ordinary request.
+func (h *holder) isSmall() bool { return h.held <= smallBytes }
+
 // move records that n bytes were received or sent.
 func (h *holder) move(now time.Time, n int) {
 	h.sinceMoved += int64(n)
@@ -66,7 +71,8 @@
 	total int64
 
 	holders map[*holder]struct{}
-	used    int64
+	// used is what all holders hold, and small the part of it that small ones hold.
+	used, small int64
 	// work is memory that no holder holds and that isn't free.
 	work int64
 }
@@ -82,13 +88,23 @@
 	return max(smallBytes, l.total-l.reserved()) - h.held
 }
 
-// take takes n bytes for a holder if they are free.
-func (l *ledger) take(h *holder, n int64) bool {
+// free returns how many bytes a holder may take now. Beyond what a small one holds, it leaves
+// the reserve, of which small holders use up what they hold.
+func (l *ledger) free(h *holder, n int64) int64 {
 	free := l.total - l.used - l.work
-	if h.held+n > smallBytes {
-		free -= l.reserved()
+	if h.held+n <= smallBytes {
+		return free
+	}
+	small := l.small
+	if h.isSmall() {
+		small -= h.held
 	}
-	if l.total > 0 && n > free {
+	return free - max(l.reserved()-small, 0)
+}
+
+// take takes n bytes for a holder if they are free.
+func (l *ledger) take(h *holder, n int64) bool {
+	if l.total > 0 && n > l.free(h, n) {
 		return false
 	}
 	l.charge(h, n)
@@ -97,16 +113,18 @@
 
 // charge takes n bytes also if they aren't free.
 func (l *ledger) charge(h *holder, n int64) {
+	if h.isSmall() {
+		l.small -= h.held
+	}
 	h.held += n
 	l.used += n
+	if h.isSmall() {
+		l.small += h.held
+	}
 }
 
 // give gives n bytes back.
-func (l *ledger) give(h *holder, n int64) {
-	n = min(n, h.held)
-	h.held -= n
-	l.used -= n
-}
+func (l *ledger) give(h *holder, n int64) { l.charge(h, -min(n, h.held)) }
 
 // ending returns the bytes of holders that were ended and have not given them back yet.
 func (l *ledger) ending() int64 {
@@ -120,23 +138,61 @@
 }
 
 // stalled returns the holder to end for memory: of those of which nothing has run or which don't
-// read their answer, the one that has held most for longest without progress. It returns nil if
-// all move or run. If group isn't nil, only its holders count.
+// read their answer, the one that has held most for longest without progress, and one that
+// doesn't read its answer last. If only holders that wait for memory hold much, they wait for
+// each other, and it returns the last of them. It returns nil if all move or run. If group isn't
+// nil, only its holders count.
 func (l *ledger) stalled(now time.Time, group any) *holder {
-	var worst *holder
+	var worst, lastWaiting *holder
 	var worstScore float64
+	mayGiveBack := false
 	for h := range l.holders {
-		age := now.Sub(h.moved)
-		if h.ended || h.phase == running || age < stallTime || group != nil && h.group != group {
+		if h.ended || group != nil && h.group != group {
 			continue
 		}
-		if score := float64(h.held) * age.Seconds(); worst == nil || score > worstScore {
-			worst, worstScore = h, score
+		mayGiveBack = mayGiveBack || !h.waiting && !h.isSmall()
+		switch {
+		case !h.isStalled(now):
+		case h.waiting:
+			if lastWaiting == nil || h.moved.After(lastWaiting.moved) {
+				lastWaiting = h
+			}
+		case worst == nil || h.stallScore(now) > worstScore:
+			worst, worstScore = h, h.stallScore(now)
 		}
 	}
+	if worst == nil && !mayGiveBack {
+		return lastWaiting
+	}
 	return worst
 }
 
+// isStalled reports whether the holder may be ended for its lack of progress.
+func (h *holder) isStalled(now time.Time) bool {
+	return h.phase != running && now.Sub(h.moved) >= stallTime
+}
+
+// stallScore is higher the sooner a stalled holder is to be ended. It is negative for one that
+// doesn't read its answer.
+func (h *holder) stallScore(now time.Time) float64 {
+	score := float64(h.held) * now.Sub(h.moved).Seconds()
+	if h.phase == sending {
+		return -1 / (1 + score)
+	}
+	return score
+}
+
+// endable returns the bytes of the holders that stalled may return one after the other.
+func (l *ledger) endable(now time.Time) int64 {
+	var n int64
+	for h := range l.holders {
+		if !h.ended && h.isStalled(now) {
+			n += h.held
+		}
+	}
+	return n
+}
+
 // admit adds a holder of n bytes to its group, which has at most limit holders unless limit is
 // zero. If there are too many, it returns another one to end for it: the longest idle one, or
 // else the one that has held most for longest without progress. ok is false if there is none.
@@ -176,7 +232,7 @@
 	if limit > 0 && members >= limit {
 		return h.group, true
 	}
-	return nil, l.total > 0 && l.used-ending+n > l.total
+	return nil, l.total > 0 && n > 0 && l.used-ending+n > l.total
 }
 
 // longestIdle returns the holder of a group, or of any if it is nil, that has been idle for
--- a/internal/request/intake/ledger_test.go
+++ b/internal/request/intake/ledger_test.go
@@ -38,6 +38,41 @@
 	is.True(l.stalled(now, nil) == nil)
 }
 
+// TestHoldersWaitForThoseThatMayGiveBack guards against ending a request that waits for memory
+// while another one may give its own back, and against requests that wait for each other.
+func TestHoldersWaitForThoseThatMayGiveBack(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(0, 0)
+	now := start.Add(3 * stallTime)
+	l := &ledger{total: 64 << 20}
+	var waiting [2]*holder
+	for i := range waiting {
+		waiting[i] = &holder{waiting: true}
+		_, ok := l.admit(waiting[i], start, 16<<20, 0)
+		is.True(ok)
+		waiting[i].begin(start.Add(time.Duration(i)), receiving)
+	}
+	runs := &holder{}
+	_, ok := l.admit(runs, start, 16<<20, 0)
+	is.True(ok)
+	runs.begin(start, running)
+	is.True(l.stalled(now, nil) == nil)
+	l.remove(runs)
+	is.True(l.stalled(now, nil) == waiting[1])
+}
+
+// TestSmallHoldersUseTheReserve checks that a large request finds all but the reserve also
+// beside many small ones.
+func TestSmallHoldersUseTheReserve(t *testing.T) {
+	is := is.New(t)
+	l := &ledger{total: 64 << 20}
+	for range 50 {
+		is.True(l.take(&holder{}, 32<<10))
+	}
+	large := &holder{}
+	is.True(l.take(large, l.room(large)))
+}
+
 // TestTrickleIsNoProgress guards against holders that send a byte now and then.
 func TestTrickleIsNoProgress(t *testing.T) {
 	is := is.New(t)
