Order no servers away by a raise, and keep what a term has learned

Cause (a review by reading): a raise was worked out from the entries that are there, so it could order fewer servers than the platform still counts; one moment without a certain term dropped all orders under way; an order to a zone that was reclaimed counted as coming again; finished and quarantined items counted as demand; a lease could be taken before its delay had passed. Change: a raise orders no less than was ordered or seen; only another term drops the state; the rest as said. The delay before a new holder of the duties acts is at least the time of its lease. Result: TestRaiseTakesNoServersAway fails without the change and passes with it; the tests of scaling, lease, duty and batchrun pass.

--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -129,7 +129,7 @@
 	defer cancel()
 	held := &lease.Holder{
 		AwaitTurn: h.awaitTurn, ID: h.Self, Key: key, Logger: h.Logger, Margin: CallTimeout, Name: "duties",
-		Store: h.Store, TakeoverDelay: h.Spacing, TTL: leaseTTL, WhileHeld: h.whileHeld,
+		Store: h.Store, TakeoverDelay: max(h.Spacing, leaseTTL), TTL: leaseTTL, WhileHeld: h.whileHeld,
 	}
 	h.setLease(held)
 	var group errgroup.Group
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -240,6 +240,10 @@
 			sent = renewalSent
 		}
 	}
+	if ctx.Err() != nil {
+		h.revoke(ctx, id)
+		return 0, false
+	}
 	h.update(ctx, func(l *Lifecycle, now time.Time) { l.Granted(sent, now, h.ttl(), fencingToken) })
 	return id, true
 }
--- a/internal/rollout/batchrun/demand.go
+++ b/internal/rollout/batchrun/demand.go
@@ -67,9 +67,10 @@
 			RunTarget: route.RunTarget, Service: route.PickService(0),
 		}
 		for _, s := range br.items {
-			if !s.done && !s.textComplete {
-				b.Unfinished++
+			if s.done || s.textComplete || br.isQuarantined(s) {
+				continue
 			}
+			b.Unfinished++
 			if !s.running && s.obstacle == placing.ObstacleSlots {
 				b.Waiting++
 			}
--- a/internal/rollout/scaling/controller.go
+++ b/internal/rollout/scaling/controller.go
@@ -65,12 +65,12 @@
 }
 
 // reconcile decides for each service. What an earlier term has observed is dropped: another
-// host may have held the duties in between.
+// host may have held the duties in between. While the term can't be told, nothing is dropped,
+// since nobody else has held the duties if it is the same one afterwards.
 func (c *Controller) reconcile(ctx context.Context) {
 	term, ok := c.Term()
 	cfg := c.Config()
 	if !ok || cfg == nil {
-		c.deciders = nil
 		return
 	}
 	if term != c.term || c.deciders == nil {
--- a/internal/rollout/scaling/decider.go
+++ b/internal/rollout/scaling/decider.go
@@ -61,6 +61,10 @@
 	confirmed  bool
 	sentAt     time.Time
 	validUntil time.Time
+	// most is the highest number of servers that were ordered or seen since servers were last
+	// ordered away or reclaimed. The platform may still count servers whose entries are gone, so
+	// more servers are never ordered by a lower number.
+	most int
 	// quietUntil is the time before which no order is sent.
 	quietUntil time.Time
 }
@@ -112,7 +116,11 @@
 	}
 	for i, target := range targets {
 		if before := decision.Counts[i].servers(); target.servers() != before && !now.Before(d.pool(target.Pool).quietUntil) {
-			decision.Orders = append(decision.Orders, Order{Pool: target.Pool, Service: d.Service, Servers: target.servers()})
+			number := target.servers()
+			if number > before {
+				number = max(number, d.pool(target.Pool).most)
+			}
+			decision.Orders = append(decision.Orders, Order{Pool: target.Pool, Service: d.Service, Servers: number})
 		}
 	}
 	return decision
@@ -124,7 +132,7 @@
 	switch outcome {
 	case OutcomeAccepted, OutcomeUnknown:
 		state.refusals, state.refusedUntil = 0, time.Time{}
-		state.sent, state.sentAt, state.validUntil = order.Servers, now, now.Add(unknownTime)
+		state.sent, state.sentAt, state.validUntil, state.most = order.Servers, now, now.Add(unknownTime), order.Servers
 		state.confirmed = outcome == OutcomeAccepted
 		if outcome == OutcomeAccepted {
 			state.validUntil = now.Add(limits.Boot + settleTime)
@@ -195,9 +203,13 @@
 	}
 	if reclaimed && c.Serving == 0 && !now.Before(s.refusedUntil) && now.Sub(s.sentAt) > settleTime {
 		s.refusedUntil = now.Add(minRefusedTime)
-		c.Coming = 0
+		s.sent, s.validUntil, c.Coming = 0, time.Time{}, 0
 	}
 	c.Refused = now.Before(s.refusedUntil)
+	s.most = max(s.most, c.Serving)
+	if reclaimed {
+		s.most = c.Serving
+	}
 	return c
 }
 
--- a/internal/rollout/scaling/decider_test.go
+++ b/internal/rollout/scaling/decider_test.go
@@ -342,3 +342,25 @@
 	w.run(time.Minute, steady(24))
 	is.True(len(w.orders) > 0)
 }
+
+// TestRaiseTakesNoServersAway loses the entries of servers that the platform may still count,
+// while the demand rises.
+func TestRaiseTakesNoServersAway(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(16)
+	w.run(10*time.Second, func() int { return 100 })
+	is.Equal(len(w.orders), 0)
+	for _, zone := range []string{"a", "b", "c"} {
+		w.serving[scaling.Pool{Zone: zone}] -= 5
+		w.refused[scaling.Pool{Zone: zone, Spot: true}] = true
+	}
+	w.run(2*interval, func() int { return 1100 })
+	raised := 0
+	for _, o := range w.orders {
+		if !o.Spot {
+			raised++
+			is.True(o.Servers >= 16)
+		}
+	}
+	is.True(raised > 0)
+}
