Answer batches that were accepted before also while much runs

Cause (a review by reading): the bound on the memory of running batches was checked before the id of a submission, so a batch that had its 202 could get 503 when it was sent again. Change: only batches that aren't known are checked. Result: builds; no test of its own.

--- a/internal/entry/host/accounts.go
+++ b/internal/entry/host/accounts.go
@@ -119,8 +119,11 @@
 	if h.leaving.Load() {
 		return kind.New(kind.Leaving, "the host is leaving").WithRetryAfter(notReadyRetryAfter)
 	}
-	if err := h.intake.CheckWork(b.HeldBytes()); err != nil {
-		return err
+	// A batch that was accepted before is answered so, however much runs.
+	if _, known := h.Batches.Index.Get(b.ID); !known {
+		if err := h.intake.CheckWork(b.HeldBytes()); err != nil {
+			return err
+		}
 	}
 	if grant == nil {
 		return h.Batches.Submit(ctx, b)
