--- a/internal/rollout/batchrun/demand_test.go
+++ b/internal/rollout/batchrun/demand_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
@@ -44,8 +45,12 @@
 	a := newHostWith(t, "a", store, withLink, engine)
 	server := grpc.NewServer()
 	batchlink.Register(server, b.service)
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(server.Stop)
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(listener) })
+	t.Cleanup(func() {
+		server.Stop()
+		is.NoErr(group.Wait())
+	})
 	head, _, err := (&batch.Store{KV: store}).Accept(t.Context(), sampleBatch(4), batch.Owner{Host: "b", Incarnation: "1"})
 	is.NoErr(err)
 	is.True(b.service.Adopt(t.Context(), head, sampleBatch(4)))
