--- a/internal/lab/catalog/catalog.go
+++ b/internal/lab/catalog/catalog.go
@@ -238,7 +238,7 @@
 
 func (c *Catalog) sort() {
 	slices.SortFunc(c.Events, func(a, b Event) int {
-		return cmp.Or(cmp.Compare(a.Package, b.Package), cmp.Compare(a.Message, b.Message), cmp.Compare(a.Level, b.Level))
+		return cmp.Or(cmp.Compare(a.Package, b.Package), cmp.Compare(a.Message, b.Message), cmp.Compare(a.Level, b.Level), slices.Compare(a.Attributes, b.Attributes))
 	})
 	c.Events = slices.CompactFunc(c.Events, func(a, b Event) bool {
 		return a.Package == b.Package && a.Message == b.Message && a.Level == b.Level && slices.Equal(a.Attributes, b.Attributes)
