--- a/review/standin-2/extra.go
+++ b/review/standin-2/extra.go
@@ -93,7 +93,7 @@
 	w.sendConfig(1, batchRoutes(), "m0")
 	for i := range 4 {
 		f := &faulty{trouble: w.trouble && i < 2, server: &server{
-			world: w, id: fmt.Sprintf("i-app-%d", i), service: "wuno96b", zone: fmt.Sprintf("z%d", i), ip: "127.20.1.2", slots: 6, work: 25 * time.Millisecond,
+			world: w, id: fmt.Sprintf("i-app-%d", i), service: "wuno96b", zone: fmt.Sprintf("z%d", i), ip: w.ip(202), slots: 6, work: 25 * time.Millisecond,
 		}}
 		f.listen()
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -51,7 +51,7 @@
 		return couldNot
 	}
 	w := &world{binary: binary, folder: folder, record: record, began: time.Now(), trouble: os.Getenv("TROUBLE") != "0", cores: 1, store: newStore()}
-	listener, _ := w.serve("127.20.0.1", w.store)
+	listener, _ := w.serve(w.ip(1), w.store)
 	w.storeAddr = listener.Addr().String()
 	defer w.close()
 	defer func() {
--- a/review/standin-2/memory.go
+++ b/review/standin-2/memory.go
@@ -13,7 +13,7 @@
 // startApps starts the servers of a plain service.
 func (w *world) startApps() {
 	for i := range 4 {
-		(&server{world: w, id: fmt.Sprintf("i-app-%d", i), service: "wuno96b", zone: fmt.Sprintf("z%d", i), ip: "127.20.1.2", slots: 6, work: 25 * time.Millisecond}).start()
+		(&server{world: w, id: fmt.Sprintf("i-app-%d", i), service: "wuno96b", zone: fmt.Sprintf("z%d", i), ip: w.ip(202), slots: 6, work: 25 * time.Millisecond}).start()
 	}
 }
 
--- a/review/standin-2/readers.go
+++ b/review/standin-2/readers.go
@@ -23,7 +23,7 @@
 	w.sendConfig(1, batchRoutes(), "m0")
 	for i := range engines {
 		(&server{
-			world: w, id: fmt.Sprintf("i-engine-%d", i), service: "huvo11a", zone: fmt.Sprintf("z%d", i%4), ip: "127.20.1.1", slots: engineSlots,
+			world: w, id: fmt.Sprintf("i-engine-%d", i), service: "huvo11a", zone: fmt.Sprintf("z%d", i%4), ip: w.ip(201), slots: engineSlots,
 			kvTokens: engineTokens, model: "m0", eventTime: 20 * time.Millisecond, eventBytes: 400,
 		}).start()
 	}
--- a/review/standin-2/starve.go
+++ b/review/standin-2/starve.go
@@ -20,7 +20,7 @@
 	var servers []*server
 	for i := range engines {
 		s := &server{
-			world: w, id: fmt.Sprintf("i-engine-%d", i), service: "huvo11a", zone: fmt.Sprintf("z%d", i%4), ip: "127.20.1.1", slots: engineSlots,
+			world: w, id: fmt.Sprintf("i-engine-%d", i), service: "huvo11a", zone: fmt.Sprintf("z%d", i%4), ip: w.ip(201), slots: engineSlots,
 			kvTokens: engineTokens, model: "m0", eventTime: 20 * time.Millisecond, eventBytes: 400,
 		}
 		s.start()
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -53,6 +53,12 @@
 // id returns a new id of a request, a batch or an item.
 func (w *world) id() string { return fmt.Sprintf("%016x", w.ids.Add(1)*0x9e3779b97f4a7c15) }
 
+// ip returns an address of the loopback range. Cases that run at once have different ones.
+func (w *world) ip(n int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 20+pid/250%200, 1+pid%250, n)
+}
+
 // serve serves a handler on a free port of the address.
 func (w *world) serve(ip string, handler http.Handler) (net.Listener, *http.Server) {
 	listener, err := net.Listen("tcp", ip+":0")
@@ -110,15 +116,15 @@
 // addHosts starts the hosts and waits until all are ready. Each has an address of its own.
 func (w *world) addHosts(n, memoryMB int, zones []string) {
 	for i := range w.ports {
-		w.ports[i] = freePort("127.20.0.10")
+		w.ports[i] = freePort(w.ip(10))
 	}
-	peer := freePort("127.20.0.10")
+	peer := freePort(w.ip(10))
 	zoneMap := map[string]string{}
 	for _, zone := range zones {
 		zoneMap[zone] = "review"
 	}
 	for i := range n {
-		h := &host{world: w, name: fmt.Sprintf("edge-%d", i+1), ip: fmt.Sprintf("127.20.0.%d", 10+i), zone: zones[i%len(zones)], memoryMB: memoryMB, firstCore: i}
+		h := &host{world: w, name: fmt.Sprintf("edge-%d", i+1), ip: w.ip(10 + i), zone: zones[i%len(zones)], memoryMB: memoryMB, firstCore: i}
 		h.settings, h.log = filepath.Join(w.folder, h.name+".json"), filepath.Join(w.folder, h.name+".log")
 		settings := map[string]any{
 			"node": h.name, "role": "entry", "machineClass": "edge", "serves": []string{"edge", "registry"}, "ip": h.ip,
