--- a/review/standin-2/poison.go
+++ b/review/standin-2/poison.go
@@ -85,7 +85,7 @@
 			time.AfterFunc(backAfter, func() { c.open(address) })
 			panic(http.ErrAbortHandler)
 		}
-		c.open(w.ip(202)+":0")
+		c.open(w.ip(202) + ":0")
 		go func() {
 			for range time.Tick(1200 * time.Millisecond) {
 				if !c.crashed.Load() {
