--- a/review/standin-2/extra.go
+++ b/review/standin-2/extra.go
@@ -74,7 +74,7 @@
 		}
 		id := r.Header.Get("X-Request-Id")
 		total := f.total.Add(1)
-		if f.isFaulty() && float64(f.sent.Load()) < extraShare*float64(f.count.Add(1)) && n > 0 {
+		if f.isFaulty() && float64(f.sent.Load()+1) <= extraShare*float64(f.count.Add(1)) && n > 0 {
 			f.sent.Add(1)
 			f.world.note("server %s: additional bytes after the answer before that of %s", f.id, id)
 			if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(extraText), extraText); err != nil {
