Log what waiting items wait for and the load of engines that refuse

A line a second for each batch now says what its items wait for, a gauge counts them, and the line of a refused run has the load that the engine reported.

--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -280,7 +280,8 @@
 			slog.Int("events-in-all", len(s.events)), slog.String("software", s.software), slog.Int("hint", s.item.LengthHint),
 			slog.Int("tokens", s.item.Tokens), slog.Duration("pace", tracker.meanInterval), slog.Duration("server-pace", engine.EventInterval),
 			slog.Duration("best-pace", start.bestPace), slog.Duration("waited", start.waited), slog.String("waited-for", string(start.obstacle)),
-			slog.Duration("to-first-event", tracker.toFirstEvent(began)), slog.Duration("silent", tracker.silence(began)))
+			slog.Duration("to-first-event", tracker.toFirstEvent(began)), slog.Duration("silent", tracker.silence(began)),
+			slog.String("refused-at-load", refusalLoad(err)))
 	}
 	r.recordPace(start.service, time.Since(began), outcome == generation.OutcomeCompleted)
 	wroteWholeText := eventsBefore == 0 && outcome == generation.OutcomeCompleted
@@ -291,6 +292,16 @@
 	br.onRunEnded(s, engine, start.route, outcome, err)
 }
 
+// refusalLoad returns the load header of the answer by which an engine refused a run; empty if
+// err isn't a refusal or the answer has no such header.
+func refusalLoad(err error) string {
+	var refusal *generation.Refusal
+	if errors.As(err, &refusal) {
+		return refusal.Load
+	}
+	return ""
+}
+
 // hasOtherSoftware reports whether an engine has started again with other software under its
 // id since it was chosen. It isn't known then which of the two wrote the events of the run.
 func (br *batchRun) hasOtherSoftware(engine inventory.Server) bool {
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -85,6 +85,8 @@
 	// held is the memory of the batches in runs.
 	held    atomic.Int64
 	metrics instruments
+	// lastWaitLog is when a line about waiting items was last logged.
+	lastWaitLog time.Time
 	// paces holds for how long items occupy slots, by service.
 	paces map[string]*pace
 	// rewards holds the reward calls that have no answer yet.
@@ -103,6 +105,7 @@
 	defer r.mu.Unlock()
 	r.group = group
 	r.metrics = newInstruments(r.Logger)
+	r.registerWaiting()
 	if r.Rewards != nil {
 		r.rewards.Choose = r.Rewards.Chooser().Choose
 	}
@@ -335,6 +338,7 @@
 		}
 		byService[service] = br.place(ctx, route, service, candidates, now)
 	}
+	r.reportWaiting(now)
 	r.startRewards(c, now)
 }
 
