Keep items that no engine can serve from taking all engines

The cause: one item that was refused or failed backed its engine off for the items of all batches, whatever the reason, 0.15 s for a refusal and up to 4 s for failures, which doubled the time once for each item of a moment. When the back-off ended, the older batch took the slots of the engines again within the same pass of the scheduler.

The change: an engine is still blamed first, but only on evidence. A run backs its engine off for all batches if the engine can't be reached or doesn't go on with a text that it has begun, or if neither the item nor its batch is suspect. Suspect is an item that another engine has turned down too, and a batch of which no engine has answered any item while a second one turns one down; a failed run at an engine that generated events in the last 0.5 s isn't put down to the engine either. Then the engine backs off for that batch alone (internal/rollout/backoff). If another engine then answers the item, the engine that failed it backs off for all. Items with several runs without an event start after others, and while all engines back off after failures, each takes one untried item at a time, which shows whether the engines or the items are at fault.

Tried first: blaming engines only once another one has answered the item.

--- a/internal/backend/generation/generation.go
+++ b/internal/backend/generation/generation.go
@@ -19,6 +19,7 @@
 
 	"github.com/nutmegway/nutmegway/internal/backend/dialect"
 	"github.com/nutmegway/nutmegway/internal/backend/plain"
+	"github.com/nutmegway/nutmegway/internal/base/kind"
 )
 
 var classError = errs.Class("generation")
@@ -118,6 +119,9 @@
 	OutcomeStalled Outcome = "stalled"
 	// OutcomeStopped means that the caller's context ended.
 	OutcomeStopped Outcome = "stopped"
+	// OutcomeUnreachable means that no byte of the request was sent, because there was no
+	// connection to the server or it takes no new work.
+	OutcomeUnreachable Outcome = "unreachable"
 )
 
 // Client runs generations. The fields are set before the first call.
@@ -273,6 +277,8 @@
 		return OutcomeStopped, context.Cause(ctx)
 	case errors.Is(err, plain.ErrNotAdmitted):
 		return OutcomeNotRun, err
+	case kind.Is(err, kind.Unavailable) && kind.Of(err).Ran == kind.RanNo:
+		return OutcomeUnreachable, err
 	default:
 		return OutcomeBroken, err
 	}
--- a/internal/backend/inventory/inventory.go
+++ b/internal/backend/inventory/inventory.go
@@ -72,6 +72,8 @@
 
 // observations holds what this host has observed of one server.
 type observations struct {
+	// answeredAt is when the server last answered or generated an event.
+	answeredAt       time.Time
 	failures         int
 	inFlight         int
 	eventInterval    time.Duration
@@ -382,12 +384,20 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	seen := v.observed(id)
-	seen.failures, seen.backoffUntil = 0, time.Time{}
+	seen.answeredAt, seen.failures, seen.backoffUntil = v.now(), 0, time.Time{}
 	if requests >= 0 {
 		seen.reportedRequests, seen.reportedAt = requests, v.now()
 	}
 }
 
+// AnsweredSince reports whether the server has answered or generated an event after t.
+func (v *Inventory) AnsweredSince(id string, t time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	seen := v.observedByID[id]
+	return seen != nil && seen.answeredAt.After(t)
+}
+
 // RecordFailure records a failure that was caused by the server and not by the request. It
 // returns the length of the back-off that begins now.
 func (v *Inventory) RecordFailure(id string) time.Duration {
@@ -419,6 +429,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	seen := v.observed(id)
+	seen.answeredAt = v.now()
 	if seen.eventInterval == 0 {
 		seen.eventInterval = interval
 		return
--- /dev/null
+++ b/internal/rollout/batchrun/isolation_test.go
@@ -0,0 +1,137 @@
+package batchrun_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/nutmegway/nutmegway/internal/rollout/batch"
+	"github.com/nutmegway/nutmegway/internal/rollout/batchrun"
+	"github.com/nutmegway/nutmegway/internal/standin/kvmemory"
+)
+
+// hopelessRuns are the ways in which engines treat the items that none of them can serve.
+var hopelessRuns = map[string]func(w http.ResponseWriter, r *http.Request){
+	"refused": func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	},
+	"refused by an idle engine": func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Load", "0,0,4")
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	},
+	"failed": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
+	"broken": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+	"not a stream": func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, "no events")
+	},
+	"silent": func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+}
+
+// mixedEngines returns two engines that treat items whose id contains "hopeless" by hopeless, and
+// take some time for the events of all others.
+func mixedEngines(t *testing.T, hopeless func(w http.ResponseWriter, r *http.Request)) []*engineServer {
+	t.Helper()
+	engines := []*engineServer{newEngine(t), newEngine(t)}
+	for _, e := range engines {
+		e.handle = func(w http.ResponseWriter, r *http.Request) bool {
+			if strings.Contains(r.Header.Get("X-Request-Id"), "hopeless") {
+				hopeless(w, r)
+				return true
+			}
+			time.Sleep(10 * time.Millisecond)
+			return false
+		}
+	}
+	return engines
+}
+
+// hopelessBatch returns a batch of items that no engine can serve.
+func hopelessBatch(id string, items int) batch.Batch {
+	b := sampleBatch(items)
+	b.ID = id
+	for n := range b.Items {
+		b.Items[n].ID = fmt.Sprintf("%s-hopeless%d", id, n)
+	}
+	return b
+}
+
+// awaitCompleted waits until n items of the batch are completed.
+func awaitCompleted(t *testing.T, s *batchrun.Service, id string, n int) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	completed, after := 0, 0
+	for completed < n && ctx.Err() == nil {
+		wait, stop := context.WithTimeout(ctx, 200*time.Millisecond)
+		page, err := s.Read(wait, id, after)
+		stop()
+		if err != nil {
+			t.Fatal(err)
+		}
+		after += len(page.Results)
+		for _, r := range page.Results {
+			if r.State == batch.StateCompleted {
+				completed++
+			}
+		}
+	}
+	if completed < n {
+		t.Errorf("got %d completed items of batch %s, want %d", completed, id, n)
+	}
+}
+
+// TestHopelessBatchLeavesEnginesToOthers guards against a batch whose items no engine can serve
+// and which keeps the items of other batches from all engines.
+func TestHopelessBatchLeavesEnginesToOthers(t *testing.T) {
+	for name, hopeless := range hopelessRuns {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h := newHost(t, "a", &kvmemory.Store{}, mixedEngines(t, hopeless)...)
+			// There are 8 slots.
+			is.NoErr(h.service.Submit(t.Context(), hopelessBatch("first", 64)))
+			is.NoErr(h.service.Submit(t.Context(), sampleBatch(64)))
+			awaitCompleted(t, h.service, "x", 64)
+		})
+	}
+}
+
+// TestHopelessItemsLeaveEnginesToTheirBatch guards against items that no engine can serve and that
+// keep the other items of their batch from all engines.
+func TestHopelessItemsLeaveEnginesToTheirBatch(t *testing.T) {
+	for name, hopeless := range hopelessRuns {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h := newHost(t, "a", &kvmemory.Store{}, mixedEngines(t, hopeless)...)
+			b := sampleBatch(64)
+			b.Items = append(hopelessBatch("x", 16).Items, b.Items...)
+			is.NoErr(h.service.Submit(t.Context(), b))
+			awaitCompleted(t, h.service, "x", 64)
+		})
+	}
+}
+
+// TestNextOwnerOfHopelessBatchLeavesEnginesToOthers guards against the same after a batch was
+// handed over.
+func TestNextOwnerOfHopelessBatchLeavesEnginesToOthers(t *testing.T) {
+	is := is.New(t)
+	store := &kvmemory.Store{}
+	engines := mixedEngines(t, hopelessRuns["refused"])
+	first := newHost(t, "a", store, engines...)
+	is.NoErr(first.service.Submit(t.Context(), hopelessBatch("first", 64)))
+	first.stop()
+	second := newHost(t, "b", store, engines...)
+	for !second.service.Runner.Runs("first") {
+		time.Sleep(time.Millisecond)
+	}
+	is.NoErr(second.service.Submit(t.Context(), sampleBatch(64)))
+	awaitCompleted(t, second.service, "x", 64)
+}
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -1,6 +1,7 @@
 package batchrun
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -12,20 +13,19 @@
 
 	"github.com/nutmegway/nutmegway/internal/backend/generation"
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
-	"github.com/nutmegway/nutmegway/internal/backend/plain"
-	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
 	"github.com/nutmegway/nutmegway/internal/request/forward"
 	"github.com/nutmegway/nutmegway/internal/request/poison"
+	"github.com/nutmegway/nutmegway/internal/rollout/backoff"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
 	"github.com/nutmegway/nutmegway/internal/rollout/placing"
 	"github.com/nutmegway/nutmegway/internal/rollout/reward"
 )
 
 const (
-	// rejectionBackoff is how long an engine that rejected an item gets no
-	// further items.
-	rejectionBackoff = 150 * time.Millisecond
+	// failingRuns is the number of runs in a row without an event after which an item starts
+	// after others.
+	failingRuns = 3
 	// maxMoves bounds how often one item is moved away from a slow engine.
 	maxMoves = 3
 	// fasterCheckInterval is the minimum time between two searches for a faster engine.
@@ -46,6 +46,12 @@
 	done bool
 	// events holds the data of the events received so far.
 	events []string
+	// eventless counts the runs without an event since the last event. Of these, engines
+	// refused refused.
+	eventless, refused int
+	// turnedDownBy holds the engines that have refused the item or failed on it since its last
+	// event, and failedOn those that failed.
+	turnedDownBy, failedOn map[string]bool
 	// failures counts the failed runs in this batch at this host.
 	failures    int
 	lastEventID string
@@ -71,6 +77,12 @@
 // batchRun is a batch that this host owns and runs. The fields from changed on are
 // guarded by the runner's mutex, unless noted otherwise.
 type batchRun struct {
+	// answered is set once an engine has answered an item of the batch with an event.
+	answered bool
+	// turnedDownBy holds the engines that have refused an item of the batch or failed on one.
+	turnedDownBy map[string]bool
+	// backoff holds the engines that get no items of this batch now.
+	backoff backoff.Engines
 	// bytes is the memory that the batch holds.
 	bytes int64
 	batch batch.Batch
@@ -99,8 +111,10 @@
 	pending []batch.Result
 	// appendSignal wakes appendLoop.
 	appendSignal chan struct{}
-	// inFlight counts the item runs and reward calls in flight.
-	inFlight int
+	// inFlight counts the item runs and reward calls in flight, and runningOn the item runs by
+	// engine.
+	inFlight  int
+	runningOn map[string]int
 	// urgency is the highest urgency of the pending results.
 	urgency urgency
 	// completeGroups is the number of groups without unfinished items.
@@ -115,6 +129,7 @@
 	br := &batchRun{
 		batch: b, bytes: b.HeldBytes(), byID: make(map[string]int, len(b.Items)), changed: make(chan struct{}),
 		unfinishedInGroup: make(map[string]int), head: head, stored: stored, appendSignal: make(chan struct{}, 1), runner: r,
+		runningOn: make(map[string]int), turnedDownBy: make(map[string]bool),
 	}
 	now := time.Now()
 	for i, item := range b.Items {
@@ -164,28 +179,54 @@
 	return done, running, started
 }
 
-// place starts items on the candidate engines and returns the candidates with
-// their in-flight counts updated. Items with too many failed runs are finished
-// as dead. The caller holds the runner's mutex.
-func (br *batchRun) place(
-	_ context.Context, route config.Route, service string, candidates []inventory.Candidate, now time.Time,
-) []inventory.Candidate {
+// placement is one pass over the items of a batch that may start.
+type placement struct {
+	batch *batchRun
+	// failing selects the items whose runs keep failing, otherwise all others.
+	failing bool
+	route   config.Route
+	service string
+}
+
+// startable returns the items that may start in a placement, in their order. Items with several
+// runs without an event come last, and as long as no engine has answered any item of the batch,
+// all that have run. The caller holds the runner's mutex.
+func (br *batchRun) startable(p placement) []*itemState {
+	var items, last []*itemState
 	for _, i := range br.startOrder {
 		s := br.items[i]
-		if s.done || s.running || s.textComplete {
-			continue
+		switch {
+		case s.done || s.running || s.textComplete || s.keepsFailing() != p.failing:
+		case s.refused >= failingRuns || s.eventless-s.refused >= failingRuns-1 || !br.answered && s.eventless > 0:
+			last = append(last, s)
+		default:
+			items = append(items, s)
 		}
-		if br.runner.failures.count(s.item.ID) >= failedRunsFactor*max(route.MaxAttempts, 1) {
+	}
+	slices.SortStableFunc(last, func(a, b *itemState) int { return cmp.Compare(a.eventless, b.eventless) })
+	return append(items, last...)
+}
+
+// place starts items on the candidate engines and updates their in-flight counts. Items with
+// too many failed runs are finished as dead. The caller holds the runner's mutex.
+func (br *batchRun) place(p placement, candidates []inventory.Candidate, now time.Time) {
+	backingOff := br.backoff.Active(now)
+	for _, s := range br.startable(p) {
+		if br.runner.failures.count(s.item.ID) >= failedRunsFactor*max(p.route.MaxAttempts, 1) {
 			br.finishDead(s, "too many failed runs")
 			continue
 		}
 		if br.isQuarantined(s) {
 			continue
 		}
-		demand := br.demand(s, route.SingleVersion)
+		demand := br.demand(s, p.route.SingleVersion)
+		demand.BackingOff = backingOff
 		engine, ok := placing.Choose(candidates, demand)
 		if !ok {
 			s.obstacle = placing.FindObstacle(candidates, demand)
+			engine, ok = br.chooseToProbe(s, candidates, demand, now)
+		}
+		if !ok {
 			if engine, ok = s.chooseToStartOver(candidates, demand); !ok {
 				continue
 			}
@@ -198,9 +239,10 @@
 		}
 		s.running, s.started = true, true
 		br.inFlight++
+		br.runningOn[engine.ID]++
 		br.runner.Inventory.RequestStarted(engine.ID)
 		start := runStart{
-			budget: route.ItemTimeout - now.Sub(br.head.Submitted()), engine: engine, route: route, service: service,
+			budget: p.route.ItemTimeout - now.Sub(br.head.Submitted()), engine: engine, route: p.route, service: p.service,
 			bestPace: placing.LowestEventInterval(candidates, demand), obstacle: s.obstacle, waited: now.Sub(s.readySince),
 		}
 		s.obstacle = ""
@@ -209,7 +251,20 @@
 			return nil
 		})
 	}
-	return candidates
+}
+
+// chooseToProbe returns an engine for an item that has not failed yet while all engines back off
+// after failures of other items. Each engine gets one such item at a time. It shows whether the
+// engines are at fault or the items that failed.
+func (br *batchRun) chooseToProbe(s *itemState, candidates []inventory.Candidate, demand placing.Demand, now time.Time) (inventory.Candidate, bool) {
+	if s.obstacle != placing.ObstacleBackoff || s.eventless > 0 {
+		return inventory.Candidate{}, false
+	}
+	demand.BackingOff = br.backoff.Refusing(now)
+	for id := range br.runningOn {
+		demand.BackingOff[id] = true
+	}
+	return placing.Choose(candidates, demand)
 }
 
 // chooseToStartOver returns an engine that generates an item from the start, if that is
@@ -289,6 +344,7 @@
 		s.reset()
 		outcome = generation.OutcomeStopped
 	}
+	br.recordBlame(s, engine, run{began: began, err: err, outcome: outcome, responded: responded})
 	br.onRunEnded(s, engine, start.route, outcome, err)
 }
 
@@ -314,6 +370,9 @@
 func (br *batchRun) release(s *itemState, engine inventory.Candidate) {
 	br.runner.mu.Lock()
 	br.inFlight--
+	if br.runningOn[engine.ID]--; br.runningOn[engine.ID] == 0 {
+		delete(br.runningOn, engine.ID)
+	}
 	s.running, s.readySince = false, time.Now()
 	br.runner.mu.Unlock()
 	br.runner.Inventory.RequestFinished(engine.ID)
@@ -337,6 +396,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	br.recordProgress(s, server.ID)
 	s.events = append(s.events, event.Data)
 	s.lastEventID = event.ID
 	s.software = server.Software
@@ -363,7 +423,7 @@
 	}
 	tracker.lastFasterCheck = tracker.lastEvent
 	demand := br.demand(s, false)
-	demand.Avoid = server
+	demand.Avoid, demand.BackingOff = server, br.backoff.Active(tracker.lastEvent)
 	return placing.HasFaster(br.runner.Inventory.Candidates(service), demand, run)
 }
 
@@ -385,7 +445,6 @@
 func (br *batchRun) onRunEnded(
 	s *itemState, engine inventory.Candidate, route config.Route, outcome generation.Outcome, err error,
 ) {
-	inv := br.runner.Inventory
 	switch outcome {
 	case generation.OutcomeCompleted:
 		if len(s.events) == 0 || route.SingleVersion && len(s.versions) > 1 {
@@ -402,36 +461,20 @@
 		s.failures++
 		br.runner.failures.add(s.item.ID, 1)
 		s.avoidEngine = engine.ID
-		// An engine that fails immediately has the fewest items in flight, so without a
-		// back-off it would be chosen for every item.
-		inv.RecordFailure(engine.ID)
 		if s.failures >= max(route.MaxAttempts, 1) {
 			br.finish(s, batch.Result{Item: s.item.ID, State: batch.StateDead})
 		}
 	case generation.OutcomeImpossible:
 		br.runner.failures.add(s.item.ID, max(route.MaxAttempts, 1))
 		br.finish(s, batch.Result{Item: s.item.ID, State: batch.StateDead})
-	case generation.OutcomeNotRun:
-		inv.BackOff(engine.ID, notRunBackoff(err))
-	case generation.OutcomeStopped:
+	case generation.OutcomeNotRun, generation.OutcomeStopped, generation.OutcomeUnreachable:
 	case generation.OutcomeBroken, generation.OutcomeStalled:
 		s.avoidEngine = engine.ID
 		if errors.Is(err, generation.ErrOutOfOrder) {
 			// The engine doesn't resume the text, and others may not either.
 			s.reset()
 		}
-		if !errors.Is(err, errSlow) && !errors.Is(err, errStaleVersion) {
-			inv.RecordFailure(engine.ID)
-		}
-	}
-}
-
-// notRunBackoff returns how long an engine gets no further items after it did not run one.
-func notRunBackoff(err error) time.Duration {
-	if errors.Is(err, plain.ErrNotAdmitted) {
-		return kind.Of(err).RetryAfter
 	}
-	return rejectionBackoff
 }
 
 // complete finishes an item as completed with its text and score. The caller holds the
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -299,7 +299,7 @@
 }
 
 // schedule starts the items and reward calls that can start, in the order in which their
-// batches were submitted. The items of a batch that has no route, or is older than its
+// batches were submitted. Items whose runs keep failing start after all others. The items of a batch that has no route, or is older than its
 // route's item limit, are finished as dead, once the store has confirmed the configuration.
 // A batch that was accepted under a newer configuration waits for that one.
 func (r *Runner) schedule(ctx context.Context) {
@@ -310,6 +310,7 @@
 		return
 	}
 	byService := make(map[string][]inventory.Candidate)
+	var placements []placement
 	runs := slices.SortedFunc(maps.Values(r.runs), func(a, b *batchRun) int {
 		return cmp.Compare(a.head.SubmittedMillis, b.head.SubmittedMillis)
 	})
@@ -336,7 +337,14 @@
 			candidates = r.Inventory.Candidates(service)
 			r.medianEventInterval[service] = placing.MedianEventInterval(candidates)
 		}
-		byService[service] = br.place(ctx, route, service, candidates, now)
+		byService[service] = candidates
+		placements = append(placements, placement{batch: br, route: route, service: service})
+	}
+	for _, failing := range []bool{false, true} {
+		for _, p := range placements {
+			p.failing = failing
+			p.batch.place(p, byService[p.service], now)
+		}
 	}
 	r.reportWaiting(now)
 	r.startRewards(c, now)
--- a/internal/rollout/placing/placing.go
+++ b/internal/rollout/placing/placing.go
@@ -49,7 +49,10 @@
 type Demand struct {
 	// Avoid is an engine to avoid: the one on which the item failed last, or
 	// the slow one that it is to leave.
-	Avoid      string
+	Avoid string
+	// BackingOff holds the engines that get no items of this batch now, beside those that back
+	// off for all.
+	BackingOff map[string]bool
 	MinVersion int64
 	Model      string
 	// OnlyVersion is the only weight version allowed; zero allows all from
@@ -68,7 +71,7 @@
 	medianInterval := MedianEventInterval(candidates)
 	best, lowestCost := -1, 0.0
 	for i, c := range candidates {
-		if !allows(c, demand) || c.BackingOff || SlotsInUse(c) >= maxOccupancy*float64(c.Slots) {
+		if !allows(c, demand) || isBackingOff(c, demand) || SlotsInUse(c) >= maxOccupancy*float64(c.Slots) {
 			continue
 		}
 		cost := cost(c, medianInterval)
@@ -110,7 +113,7 @@
 			if obstacle == ObstacleSoftware {
 				obstacle = ObstacleWeights
 			}
-		case !c.BackingOff:
+		case !isBackingOff(c, demand):
 			return ObstacleSlots
 		default:
 			obstacle = ObstacleBackoff
@@ -128,6 +131,11 @@
 	return version >= demand.MinVersion
 }
 
+// isBackingOff reports whether the engine gets no items of the demand's batch now.
+func isBackingOff(c inventory.Candidate, demand Demand) bool {
+	return c.BackingOff || demand.BackingOff[c.ID]
+}
+
 // allowsSoftware reports whether the engine may continue the text of the demand, if it has one.
 func allowsSoftware(c inventory.Candidate, demand Demand) bool {
 	return !demand.Continues || c.Software == demand.Software
@@ -204,7 +212,7 @@
 // limit, and is known to be faster than the run by more than longRunRatio.
 func HasFaster(candidates []inventory.Candidate, demand Demand, run Run) bool {
 	for _, c := range candidates {
-		free := !c.BackingOff && !c.RequestLimit.Named && SlotsInUse(c) < maxOccupancy*float64(c.Slots)
+		free := !isBackingOff(c, demand) && !c.RequestLimit.Named && SlotsInUse(c) < maxOccupancy*float64(c.Slots)
 		if free && c.ID != demand.Avoid && allows(c, demand) && c.EventInterval > 0 && exceedsRatio(run.EventInterval, longRunRatio, c.EventInterval) {
 			return true
 		}
