Send nothing to engines that are known to be too small for it

The cause: the memory of engines was decoded from the configuration and read by nobody.

The change: an engine's memory is what it reports itself, else what the configuration in force says. Items go only to engines that have the memory, and wait if there is none; a line says how many and how large they are, the gauge of waiting items counts them, and no servers are ordered for them. They run as soon as a larger engine or another configuration comes. A single request that fits no server of its route is refused at once with 413, which clients don't repeat; if it fits another service of a split route, it goes there.

Tests: TestItemsLargerThanEveryEngineAreNotSent, TestRequestLargerThanEveryServerIsRefusedAtOnce and TestLargeRequestGoesToTheServiceWithEnoughMemory fail without the change.

--- a/internal/backend/dialect/dialect.go
+++ b/internal/backend/dialect/dialect.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 )
 
 // Dialect holds header names. An empty name means that the servers don't support the
@@ -41,6 +42,9 @@
 	ResumedAttempt string
 	// Signature is the response header with the server's signature of the answer.
 	Signature string
+	// TokenCount is the request header with the number of tokens of the prompt and the largest
+	// number of tokens to generate, separated by a comma.
+	TokenCount string
 	// WeightVersion is the response header with the weight version of the answer. The
 	// events of a stream use it as a field name, in lower case.
 	WeightVersion string
@@ -56,6 +60,21 @@
 	return value != "" && value != "0"
 }
 
+// ParseTokenCount returns the memory that a request needs in tokens, or zero if its header doesn't
+// say so.
+func (d Dialect) ParseTokenCount(header http.Header) int {
+	if d.TokenCount == "" {
+		return 0
+	}
+	prompt, output, ok := strings.Cut(header.Get(d.TokenCount), ",")
+	p, errPrompt := strconv.Atoi(strings.TrimSpace(prompt))
+	o, errOutput := strconv.Atoi(strings.TrimSpace(output))
+	if !ok || errPrompt != nil || errOutput != nil || p < 0 || o < 0 || p+o < 0 {
+		return 0
+	}
+	return p + o
+}
+
 // ParseRequestLimit returns the number of requests per second that the server accepts from
 // all hosts together. It returns false if the header names no limit or a malformed one.
 func (d Dialect) ParseRequestLimit(header http.Header) (perSecond float64, ok bool) {
--- a/internal/backend/inventory/inventory.go
+++ b/internal/backend/inventory/inventory.go
@@ -66,6 +66,9 @@
 	// BackingOff is true while new work should go to other servers, after a failure or
 	// because the server was full.
 	BackingOff bool
+	// KVTokens is the number of tokens that the server's memory holds, as the server itself
+	// reported; zero if it isn't known.
+	KVTokens int
 	// RequestLimit is the limit that the server has named in its answers.
 	RequestLimit RequestLimit
 }
@@ -80,6 +83,7 @@
 	reportedRequests int
 	reportedAt       time.Time
 	backoffUntil     time.Time
+	kvTokens         int
 	// versions holds the weight versions that answers carried since the entry was set.
 	// They override those of the entry.
 	versions map[string]int64
@@ -342,7 +346,7 @@
 		c := Candidate{Server: s, ReportedRequests: -1}
 		if seen := v.observedByID[id]; seen != nil {
 			c.InFlight, c.EventInterval, c.BackingOff = seen.inFlight, seen.eventInterval, now.Before(seen.backoffUntil)
-			c.RequestLimit = seen.limit.RequestLimit
+			c.KVTokens, c.RequestLimit = seen.kvTokens, seen.limit.RequestLimit
 			if now.Sub(seen.reportedAt) < maxReportAge {
 				c.ReportedRequests = seen.reportedRequests
 			}
@@ -390,6 +394,32 @@
 	}
 }
 
+// RecordMemory records the number of tokens that the server's memory holds, as the server
+// reported it.
+func (v *Inventory) RecordMemory(id string, tokens int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.observed(id).kvTokens = tokens
+}
+
+// LargestMemory returns the number of tokens that the largest memory of the service's servers
+// that take new work holds, or zero if it isn't known. told is the number for servers that have
+// reported none; zero if it isn't known.
+func (v *Inventory) LargestMemory(service string, told int) int {
+	largest := 0
+	for _, c := range v.Candidates(service) {
+		tokens := c.KVTokens
+		if tokens == 0 {
+			tokens = told
+		}
+		if tokens == 0 {
+			return 0
+		}
+		largest = max(largest, tokens)
+	}
+	return largest
+}
+
 // AnsweredSince reports whether the server has answered or generated an event after t.
 func (v *Inventory) AnsweredSince(id string, t time.Time) bool {
 	v.mu.Lock()
--- a/internal/base/kind/kind.go
+++ b/internal/base/kind/kind.go
@@ -101,7 +101,7 @@
 	StaleVersion:      {ExitCode: 30, Ran: RanYes, RetryAfter: time.Second, Status: http.StatusConflict, Description: "The result is older than the staleness bound."},
 	StoreUnavailable:  {ExitCode: 31, Ran: RanNo, RetryAfter: 5 * time.Second, Status: http.StatusServiceUnavailable, Description: "The key-value service cannot be reached and the request needs it."},
 	StoreWriteUnknown: {ExitCode: 32, Ran: RanUnknown, RetryAfter: 5 * time.Second, Status: http.StatusServiceUnavailable, Description: "A write to the key-value service may or may not have taken effect."},
-	TooLarge:          {ExitCode: 17, Ran: RanNo, Status: http.StatusRequestEntityTooLarge, Description: "The request's body is over the limit."},
+	TooLarge:          {ExitCode: 17, Ran: RanNo, Status: http.StatusRequestEntityTooLarge, Description: "The request's body is over the limit, or it needs more memory than any backend server has."},
 	Unauthorized:      {ExitCode: 18, Ran: RanNo, Status: http.StatusUnauthorized, Description: "The bearer token or the API key is missing or wrong."},
 	Unavailable:       {ExitCode: 33, Ran: RanNo, RetryAfter: time.Second, Status: http.StatusServiceUnavailable, Description: "No backend server can take the request now."},
 }
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -192,7 +192,7 @@
 	h.crashDetector = &crashdetect.Detector{Links: h.reach, Logger: h.Logger, OnEnded: h.recordCrash, Prober: h.Plain, Servers: h.inventory}
 	h.Forwarder = &forward.Forwarder{
 		Client: h.Plain, Quarantine: h.poisonRegistry, Dialect: h.Dialect, CrashDetector: h.crashDetector, Inventory: h.inventory, Logger: h.Logger,
-		Self: h.Settings.ID, Stop: h.stopTime, Zone: h.Settings.Zone,
+		KVTokens: h.kvTokens, Self: h.Settings.ID, Stop: h.stopTime, Zone: h.Settings.Zone,
 	}
 	h.softwareHistory = &software.History{
 		Inventory: h.inventory, IsResponsible: h.isResponsible, Logger: h.Logger, Services: h.resumableServices, Store: h.store,
--- a/internal/entry/host/limits.go
+++ b/internal/entry/host/limits.go
@@ -75,6 +75,15 @@
 	return maxHeaderBytes
 }
 
+// kvTokens returns the memory of a model engine of the service, in tokens, as the configuration
+// gives it; zero if it isn't known.
+func (h *Host) kvTokens(service string) int {
+	if c := h.config.Load(); c != nil {
+		return c.Services[service].KVTokens
+	}
+	return 0
+}
+
 // descriptors returns the part of the file descriptors for a listener, or zero if it is unbounded.
 func (s Settings) descriptors(part float64) int {
 	if s.MaxDescriptors == 0 {
--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -92,6 +92,9 @@
 // that can't be resumed, if the quarantine does not admit the content, or if no server
 // answers.
 func (x *exchange) serve(ctx context.Context) (answer, error) {
+	if err := x.checkSize(); err != nil {
+		return answer{}, err
+	}
 	if err := x.findOrigin(ctx); err != nil {
 		return answer{}, err
 	}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -101,7 +101,10 @@
 	// answer, and checks whether the server's process has ended; nil disables the check.
 	CrashDetector *crashdetect.Detector
 	Inventory     *inventory.Inventory
-	Logger        *slog.Logger
+	// KVTokens returns the memory in tokens that the configuration gives a server of the service,
+	// or zero if it isn't known; nil means that it never is.
+	KVTokens func(service string) int
+	Logger   *slog.Logger
 	// Origins holds where the streams of callers began; nil resumes them at any server.
 	Origins *origin.Origins
 	// Relay hands requests on while this host reaches no server; nil hands none on.
@@ -230,6 +233,30 @@
 	return kind.New(kind.Leaving, "the host stops before the deadline of the request").WithRetryAfter(minRetryAfter)
 }
 
+// checkSize returns an error if the request needs more memory than any server of the route has:
+// servers would refuse it as if they were full, however often it came. If only the chosen service
+// is too small, checkSize chooses another one of the route.
+func (x *exchange) checkSize() error {
+	needed := x.Dialect.ParseTokenCount(x.request.Header)
+	if x.KVTokens == nil || needed == 0 || x.isServedBy(x.service, needed) {
+		return nil
+	}
+	for _, target := range x.attempts.route.Targets {
+		if target.Weight > 0 && x.isServedBy(target.Service, needed) {
+			x.service = target.Service
+			return nil
+		}
+	}
+	return kind.New(kind.TooLarge, "the request needs %d tokens of memory, more than any server of service %q has", needed, x.service)
+}
+
+// isServedBy reports whether a server of the service may have the memory for a request that needs
+// that many tokens.
+func (x *exchange) isServedBy(service string, tokens int) bool {
+	memory := x.Inventory.LargestMemory(service, x.KVTokens(service))
+	return memory == 0 || tokens <= memory
+}
+
 // Chooser returns the Chooser that this host uses for single requests.
 func (f *Forwarder) Chooser() Chooser { return Chooser{Self: f.Self, Zone: f.Zone} }
 
--- a/internal/rollout/batchrun/isolation_test.go
+++ b/internal/rollout/batchrun/isolation_test.go
@@ -5,11 +5,14 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/nutmegway/nutmegway/internal/backend/inventory"
+	"github.com/nutmegway/nutmegway/internal/fleet/config"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
 	"github.com/nutmegway/nutmegway/internal/rollout/batchrun"
 	"github.com/nutmegway/nutmegway/internal/standin/kvmemory"
@@ -135,3 +138,47 @@
 	is.NoErr(second.service.Submit(t.Context(), sampleBatch(64)))
 	awaitCompleted(t, second.service, "x", 64)
 }
+
+// TestItemsLargerThanEveryEngineAreNotSent guards against items that are sent to engines that are
+// known to be too small for them. They run once the configuration or an engine has more memory.
+func TestItemsLargerThanEveryEngineAreNotSent(t *testing.T) {
+	cases := map[string]struct {
+		told, reported int
+		enlarge        func(c *config.Config, inv *inventory.Inventory)
+	}{
+		"the configuration says so": {told: 500, enlarge: func(c *config.Config, _ *inventory.Inventory) { c.Services["s"] = config.Service{KVTokens: 2000} }},
+		"the engine says so":        {told: 2000, reported: 500, enlarge: func(_ *config.Config, inv *inventory.Inventory) { inv.RecordMemory("e0", 2000) }},
+		"a larger engine starts": {told: 500, enlarge: func(_ *config.Config, inv *inventory.Inventory) {
+			e, _ := inv.Get("e0")
+			e.ID = "e1"
+			inv.Set(e)
+			inv.RecordMemory("e1", 2000)
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			engine := newEngine(t)
+			var current atomic.Pointer[config.Config]
+			h := newHostWith(t, "a", &kvmemory.Store{}, func(s *batchrun.Service) {
+				configuration := *s.Runner.Config()
+				configuration.Services = map[string]config.Service{"s": {KVTokens: c.told}}
+				current.Store(&configuration)
+				s.Runner.Config = current.Load
+				s.Runner.Inventory.RecordMemory("e0", c.reported)
+			}, engine)
+			b := sampleBatch(3)
+			b.Items[0].Tokens, b.Items[1].Tokens = 1000, 500
+			is.NoErr(h.service.Submit(t.Context(), b))
+			awaitCompleted(t, h.service, "x", 2)
+			is.Equal(len(engine.requests()), 2)
+			demand := h.service.Runner.Demand()
+			is.Equal(demand.Batches[0].Unfinished, 0) // more engines of the same size are of no use
+			enlarged := *current.Load()
+			enlarged.Services = map[string]config.Service{"s": {KVTokens: c.told}}
+			c.enlarge(&enlarged, h.inventory)
+			current.Store(&enlarged)
+			checkComplete(t, readAll(t, h.service), 3)
+		})
+	}
+}
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -79,6 +79,8 @@
 type batchRun struct {
 	// answered is set once an engine has answered an item of the batch with an event.
 	answered bool
+	// tooLarge is the number of items that were last reported as larger than every engine.
+	tooLarge int
 	// turnedDownBy holds the engines that have refused an item of the batch or failed on one.
 	turnedDownBy map[string]bool
 	// backoff holds the engines that get no items of this batch now.
@@ -211,6 +213,7 @@
 // too many failed runs are finished as dead. The caller holds the runner's mutex.
 func (br *batchRun) place(p placement, candidates []inventory.Candidate, now time.Time) {
 	backingOff := br.backoff.Active(now)
+	defer br.reportTooLarge(candidates)
 	for _, s := range br.startable(p) {
 		if br.runner.failures.count(s.item.ID) >= failedRunsFactor*max(p.route.MaxAttempts, 1) {
 			br.finishDead(s, "too many failed runs")
@@ -424,13 +427,14 @@
 	tracker.lastFasterCheck = tracker.lastEvent
 	demand := br.demand(s, false)
 	demand.Avoid, demand.BackingOff = server, br.backoff.Active(tracker.lastEvent)
-	return placing.HasFaster(br.runner.Inventory.Candidates(service), demand, run)
+	return placing.HasFaster(br.runner.candidates(br.runner.Config(), service), demand, run)
 }
 
 // demand returns what an item requires of an engine.
 func (br *batchRun) demand(s *itemState, singleVersion bool) placing.Demand {
 	demand := placing.Demand{
 		Avoid: s.avoidEngine, MinVersion: br.batch.MinVersion, Model: br.batch.Model, Continues: len(s.events) > 0, Software: s.software,
+		Tokens: s.item.Tokens,
 	}
 	if singleVersion && len(s.versions) == 1 {
 		demand.OnlyVersion = s.versions[0]
--- a/internal/rollout/batchrun/runner.go
+++ b/internal/rollout/batchrun/runner.go
@@ -334,7 +334,7 @@
 		service := route.PickService(0)
 		candidates, ok := byService[service]
 		if !ok {
-			candidates = r.Inventory.Candidates(service)
+			candidates = r.candidates(c, service)
 			r.medianEventInterval[service] = placing.MedianEventInterval(candidates)
 		}
 		byService[service] = candidates
@@ -350,6 +350,18 @@
 	r.startRewards(c, now)
 }
 
+// candidates returns the engines of a service. An engine that hasn't reported its memory has that
+// of the configuration.
+func (r *Runner) candidates(c *config.Config, service string) []inventory.Candidate {
+	candidates := r.Inventory.Candidates(service)
+	for i := range candidates {
+		if candidates[i].KVTokens == 0 && c != nil {
+			candidates[i].KVTokens = c.Services[service].KVTokens
+		}
+	}
+	return candidates
+}
+
 // AwaitClosed makes the runner accept no new batches, and waits until it runs
 // none or ctx ends. Most batches close before the host has to exit. This is
 // cheaper than a handover, after which the new owner of the batch has to
--- a/internal/rollout/batchrun/waiting.go
+++ b/internal/rollout/batchrun/waiting.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"github.com/nutmegway/nutmegway/internal/backend/inventory"
 	"github.com/nutmegway/nutmegway/internal/rollout/placing"
 )
 
@@ -49,6 +50,27 @@
 	}
 }
 
+// reportTooLarge logs how many items are larger than every engine, each time that number changes.
+// They wait for a larger engine or another configuration until the item limit of their route. The
+// caller holds the runner's mutex.
+func (br *batchRun) reportTooLarge(candidates []inventory.Candidate) {
+	count, tokens, memory := 0, 0, 0
+	for _, s := range br.items {
+		if !s.done && s.obstacle == placing.ObstacleMemory {
+			count, tokens = count+1, max(tokens, s.item.Tokens)
+		}
+	}
+	if count == br.tooLarge {
+		return
+	}
+	br.tooLarge = count
+	for _, c := range candidates {
+		memory = max(memory, c.KVTokens)
+	}
+	br.runner.Logger.Warn("items are larger than the memory of every engine", slog.String("batch", br.batch.ID), slog.Int("items", count),
+		slog.Int("of", len(br.items)), slog.Int("largest", tokens), slog.Int("memory", memory))
+}
+
 // registerWaiting registers the gauge of the items that wait for an engine.
 func (r *Runner) registerWaiting() {
 	_, err := otel.Meter("nutmegway/batchrun").Int64ObservableGauge("nutmegway.batch.items.waiting",
--- a/internal/rollout/loading/controller.go
+++ b/internal/rollout/loading/controller.go
@@ -56,6 +56,8 @@
 type Status struct {
 	// Busy is true while the engine loads a version.
 	Busy bool
+	// KVTokens is the number of tokens that the engine's memory holds; zero if it doesn't say.
+	KVTokens int
 	// Orders is the number of orders that the engine has accepted since its start.
 	Orders int64
 	// Versions holds the version of each model.
@@ -482,8 +484,9 @@
 	for model, version := range status.Versions {
 		c.Inventory.RecordVersion(server.ID, model, version)
 	}
+	c.Inventory.RecordMemory(server.ID, status.KVTokens)
 	c.Logger.LogAttrs(ctx, slog.LevelInfo, "engine status read", slog.String("server", server.ID),
-		slog.Bool("busy", status.Busy), slog.Int64("orders", status.Orders), slog.Any("versions", status.Versions))
+		slog.Bool("busy", status.Busy), slog.Int64("orders", status.Orders), slog.Int("kv-tokens", status.KVTokens), slog.Any("versions", status.Versions))
 }
 
 // expectedLoadTime returns how long a load is expected to take. The caller holds c.mu.
--- a/internal/rollout/placing/placing.go
+++ b/internal/rollout/placing/placing.go
@@ -62,6 +62,8 @@
 	// version is Software may do so.
 	Continues bool
 	Software  string
+	// Tokens is the memory that the item needs; zero if it isn't known.
+	Tokens int
 }
 
 // Choose returns the engine on which the item is expected to finish first. It
@@ -94,6 +96,7 @@
 // The obstacles, each named after what has to change first.
 const (
 	ObstacleNoEngine Obstacle = "no-engine"
+	ObstacleMemory   Obstacle = "memory"
 	ObstacleSoftware Obstacle = "software"
 	ObstacleWeights  Obstacle = "weights"
 	ObstacleBackoff  Obstacle = "back-off"
@@ -105,12 +108,16 @@
 	if len(candidates) == 0 {
 		return ObstacleNoEngine
 	}
-	obstacle := ObstacleSoftware
+	obstacle := ObstacleMemory
 	for _, c := range candidates {
 		switch {
+		case !fits(c, demand):
 		case !allowsSoftware(c, demand):
+			if obstacle == ObstacleMemory {
+				obstacle = ObstacleSoftware
+			}
 		case !AllowsVersion(c, demand):
-			if obstacle == ObstacleSoftware {
+			if obstacle == ObstacleMemory || obstacle == ObstacleSoftware {
 				obstacle = ObstacleWeights
 			}
 		case !isBackingOff(c, demand):
@@ -141,9 +148,14 @@
 	return !demand.Continues || c.Software == demand.Software
 }
 
-// allows reports whether the demand allows the engine's weight version and software.
+// fits reports whether the item fits into the engine's memory, as far as that is known.
+func fits(c inventory.Candidate, demand Demand) bool {
+	return c.KVTokens == 0 || demand.Tokens <= c.KVTokens
+}
+
+// allows reports whether the demand allows the engine's weight version, software and memory.
 func allows(c inventory.Candidate, demand Demand) bool {
-	return AllowsVersion(c, demand) && allowsSoftware(c, demand)
+	return AllowsVersion(c, demand) && allowsSoftware(c, demand) && fits(c, demand)
 }
 
 // SlotsInUse estimates the number of requests at the engine: the larger of this
