Suspect no item of having ended an engine that it did not reach

What callers saw: items that are sound may be quarantined, which keeps them waiting until their batch ends.

The cause: a run that found no connection counted as broken off, so the crash detector took the refused connection for evidence that the item had ended the engine. After three such engines the item's content is quarantined.

The change: the outcome of such a run is unreachable, and it opens no incident.

--- a/internal/rollout/batchrun/quarantine.go
+++ b/internal/rollout/batchrun/quarantine.go
@@ -45,9 +45,9 @@
 	case outcome == generation.OutcomeCompleted, outcome == generation.OutcomeFailed, outcome == generation.OutcomeImpossible:
 		br.reportResponse(s)
 	case br.runner.CrashDetector == nil, br.ctx.Err() != nil, errors.Is(err, errSlow), errors.Is(err, errStaleVersion):
-	case outcome == generation.OutcomeBroken, outcome == generation.OutcomeStalled, outcome == generation.OutcomeUnreachable:
+	case outcome == generation.OutcomeBroken, outcome == generation.OutcomeStalled:
 		br.runner.CrashDetector.Submit(crashdetect.Incident{
-			Broken: outcome != generation.OutcomeStalled, Content: s.content, RequestID: s.item.ID, Server: engine,
+			Broken: outcome == generation.OutcomeBroken, Content: s.content, RequestID: s.item.ID, Server: engine,
 		})
 	}
 }
--- a/internal/rollout/batchrun/quarantine_test.go
+++ b/internal/rollout/batchrun/quarantine_test.go
@@ -83,3 +83,32 @@
 	defer mu.Unlock()
 	is.True(crashes <= atQuarantine+1) // One run may have been under way.
 }
+
+// TestItemsThatReachedNoEngineAreNotSuspected guards against items that are suspected of having
+// ended engines that were gone before any byte of the item was sent.
+func TestItemsThatReachedNoEngineAreNotSuspected(t *testing.T) {
+	is := is.New(t)
+	logger := slog.New(slog.DiscardHandler)
+	engines := []*engineServer{newEngine(t), newEngine(t), newEngine(t), newEngine(t)}
+	for _, e := range engines[1:] {
+		e.Close()
+	}
+	reported := make(chan crashdetect.Incident, 16)
+	var detector *crashdetect.Detector
+	h := newHostWith(t, "a", &kvmemory.Store{}, func(s *batchrun.Service) {
+		detector = &crashdetect.Detector{
+			Logger: logger, Prober: &plain.Client{}, Servers: s.Runner.Inventory, OnEnded: func(i crashdetect.Incident) { reported <- i },
+		}
+		s.Runner.CrashDetector = detector
+	}, engines...)
+	ctx, cancel := context.WithCancel(t.Context())
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return detector.Run(ctx) })
+	is.NoErr(h.service.Submit(t.Context(), sampleBatch(8)))
+	checkComplete(t, readAll(t, h.service), 8)
+	// Each investigation of a refused connection ends within a few probes.
+	time.Sleep(500 * time.Millisecond)
+	cancel()
+	is.NoErr(group.Wait())
+	is.Equal(len(reported), 0)
+}
