Refuse batches with items that can't be sent, and back no engine off for them

What callers saw: a batch with an item whose path or header no HTTP client sends was accepted, and the item kept all engines in back-off until its batch ended.

The cause: the HTTP library refuses such a request before it sends anything. The error looked like that of a lost connection, so each try counted as a failure of its engine. A single request would have done the same to its server.

The change: such a batch is refused with 400, which names the item and what is wrong with it. The check is that of the client that sends the requests (plain.CheckSendable), whose error is of its own kind now: batches that an older host accepted leave the item unsent and back nothing off.

TestItemsThatCannotBeSentAreRefused and TestItemsThatCannotBeSentBackNoEngineOff fail before the change in 10 of 11 cases (an empty path was sent as a slash) and pass now.

--- a/internal/backend/generation/generation.go
+++ b/internal/backend/generation/generation.go
@@ -119,6 +119,8 @@
 	OutcomeStalled Outcome = "stalled"
 	// OutcomeStopped means that the caller's context ended.
 	OutcomeStopped Outcome = "stopped"
+	// OutcomeUnsendable means that no request for the item can be sent, to whatever server.
+	OutcomeUnsendable Outcome = "unsendable"
 	// OutcomeUnreachable means that no byte of the request was sent, because there was no
 	// connection to the server or it takes no new work.
 	OutcomeUnreachable Outcome = "unreachable"
@@ -277,6 +279,8 @@
 		return OutcomeStopped, context.Cause(ctx)
 	case errors.Is(err, plain.ErrNotAdmitted):
 		return OutcomeNotRun, err
+	case kind.Is(err, kind.BadRequest):
+		return OutcomeUnsendable, err
 	case kind.Is(err, kind.Unavailable) && kind.Of(err).Ran == kind.RanNo:
 		return OutcomeUnreachable, err
 	default:
--- a/internal/backend/plain/client.go
+++ b/internal/backend/plain/client.go
@@ -10,6 +10,9 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,6 +21,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/nutmegway/nutmegway/internal/backend/reach"
 	"github.com/nutmegway/nutmegway/internal/base/httperror"
@@ -261,7 +265,29 @@
 	c.unpooled.DisableKeepAlives = true
 }
 
+// CheckSendable returns an error if no request with the target and the header can be sent.
+func CheckSendable(target string, header http.Header) error {
+	if !strings.HasPrefix(target, "/") {
+		return classError.New("path %q, want one that begins with a slash", target)
+	}
+	if _, err := url.ParseRequestURI(target); err != nil {
+		return classError.New("path: %w", err)
+	}
+	for name, values := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return classError.New("header %q, want a name of letters, digits and hyphens", name)
+		}
+		if slices.ContainsFunc(values, func(value string) bool { return !httpguts.ValidHeaderFieldValue(value) }) {
+			return classError.New("header %q has a value with control characters", name)
+		}
+	}
+	return nil
+}
+
 func newRequest(ctx context.Context, address string, request Request, tracker *sendTracker) (*http.Request, error) {
+	if err := CheckSendable(request.Target, request.Header); err != nil {
+		return nil, err
+	}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: tracker.gotConn, PutIdleConn: tracker.putIdle})
 	outgoing, err := http.NewRequestWithContext(ctx, request.Method, "http://"+address+request.Target, http.NoBody)
 	if err != nil {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -320,6 +320,8 @@
 		switch {
 		case errors.Is(err, plain.ErrNotAdmitted):
 			f.Inventory.BackOff(candidate.ID, kind.Of(err).RetryAfter)
+		case kind.Is(err, kind.BadRequest):
+			// The request can't be sent to any server.
 		case ctx.Err() == nil && request.Grant.Check() == nil:
 			f.Inventory.RecordFailure(candidate.ID)
 		}
--- a/internal/rollout/batchrun/blame.go
+++ b/internal/rollout/batchrun/blame.go
@@ -85,6 +85,8 @@
 		if !suspect && !inv.AnsweredSince(engine.ID, now.Add(-soundFor)) {
 			inv.RecordFailure(engine.ID)
 		}
+	case generation.OutcomeUnsendable:
+		s.unsendable = true
 	case generation.OutcomeCompleted, generation.OutcomeImpossible, generation.OutcomeStopped:
 	}
 }
--- a/internal/rollout/batchrun/demand.go
+++ b/internal/rollout/batchrun/demand.go
@@ -67,7 +67,7 @@
 			RunTarget: route.RunTarget, Service: route.PickService(0),
 		}
 		for _, s := range br.items {
-			if s.done || s.textComplete || s.obstacle == placing.ObstacleMemory || br.isQuarantined(s) {
+			if s.done || s.textComplete || s.unsendable || s.obstacle == placing.ObstacleMemory || br.isQuarantined(s) {
 				continue
 			}
 			b.Unfinished++
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -52,6 +52,8 @@
 	// turnedDownBy holds the engines that have refused the item or failed on it since its last
 	// event, and failedOn those that failed.
 	turnedDownBy, failedOn map[string]bool
+	// unsendable is set once a run has shown that no request can be sent for the item.
+	unsendable bool
 	// failures counts the failed runs in this batch at this host.
 	failures    int
 	lastEventID string
@@ -198,7 +200,7 @@
 	for _, i := range br.startOrder {
 		s := br.items[i]
 		switch {
-		case s.done || s.running || s.textComplete || s.keepsFailing() != p.failing:
+		case s.done || s.running || s.textComplete || s.unsendable || s.keepsFailing() != p.failing:
 		case s.refused >= failingRuns || s.eventless-s.refused >= failingRuns-1 || !br.answered && s.eventless > 0:
 			last = append(last, s)
 		default:
@@ -471,7 +473,7 @@
 	case generation.OutcomeImpossible:
 		br.runner.failures.add(s.item.ID, max(route.MaxAttempts, 1))
 		br.finish(s, batch.Result{Item: s.item.ID, State: batch.StateDead})
-	case generation.OutcomeNotRun, generation.OutcomeStopped, generation.OutcomeUnreachable:
+	case generation.OutcomeNotRun, generation.OutcomeStopped, generation.OutcomeUnreachable, generation.OutcomeUnsendable:
 	case generation.OutcomeBroken, generation.OutcomeStalled:
 		s.avoidEngine = engine.ID
 		if errors.Is(err, generation.ErrOutOfOrder) {
--- a/internal/rollout/batchrun/service.go
+++ b/internal/rollout/batchrun/service.go
@@ -89,6 +89,9 @@
 	if head, ok := s.Index.Get(b.ID); ok {
 		return checkAccount(head, b.Account)
 	}
+	if err := checkSendable(b); err != nil {
+		return err
+	}
 	owner := s.assignedOwner(b.Model)
 	b.ConfigVersion = s.Runner.configVersion()
 	head, created, err := s.Batches.Accept(ctx, b, batch.Owner{Host: owner.ID, Incarnation: owner.Incarnation})
