Keep half of the crash detector for requests whose connection broke

What callers saw: requests that end their servers may be noticed late. By reading, not seen in a play.

The cause: the detector has at most 256 open incidents. One of a request that timed out stays open for 6 s and asks no more than whether the server's entry goes, so a batch whose items time out at sound engines fills the detector alone, and incidents with a broken connection are dropped.

The change: requests that timed out fill half of it at most. TestSilentRequestsKeepNoBrokenOnesOut: 0 of 1 ended servers noticed before, 1 now.

--- a/internal/backend/crashdetect/crashdetect.go
+++ b/internal/backend/crashdetect/crashdetect.go
@@ -24,6 +24,9 @@
 	// maxIncidents bounds the open incidents. Each occupies a goroutine that mostly
 	// waits.
 	maxIncidents = 256
+	// maxSilent bounds the open incidents of requests that timed out. They are open for long and
+	// seldom find anything, so they must not keep out those whose connection broke.
+	maxSilent = maxIncidents / 2
 	// investigationTimeout is longer than the three missed reports after which the
 	// platform removes the entry of a silent server.
 	investigationTimeout = 6 * time.Second
@@ -111,6 +114,8 @@
 
 	mu   sync.Mutex
 	open map[instanceKey]struct{}
+	// silent counts the open incidents of requests that timed out.
+	silent int
 	// reported holds when each instance was reported. It keeps a start of a server from being
 	// reported again by requests that notice its end later.
 	reported map[instanceKey]time.Time
@@ -129,16 +134,19 @@
 	})
 }
 
-// Submit opens an incident and never blocks. It drops the incident if maxIncidents are open,
-// or if one with the same instanceKey is open or was reported within reportMemory.
+// Submit opens an incident and never blocks. It drops the incident if maxIncidents are open, if
+// the request timed out and maxSilent such incidents are open, or if one with the same instanceKey is open or was reported within reportMemory.
 func (d *Detector) Submit(incident Incident) {
 	d.init()
 	d.mu.Lock()
 	_, known := d.open[incident.instance()]
 	known = known || d.isReported(incident.instance())
-	full := len(d.open) >= maxIncidents
+	full := len(d.open) >= maxIncidents || !incident.Broken && d.silent >= maxSilent
 	if !known && !full {
 		d.open[incident.instance()] = struct{}{}
+		if !incident.Broken {
+			d.silent++
+		}
 	}
 	d.mu.Unlock()
 	switch {
@@ -146,7 +154,7 @@
 	case full:
 		d.Logger.Warn("unanswered request not investigated: too many open incidents",
 			slog.String("server", incident.Server.ID), slog.String("request-id", incident.RequestID),
-			slog.Int("open", maxIncidents))
+			slog.Bool("broken", incident.Broken))
 	default:
 		d.queue <- incident // The channel has room for all open incidents.
 	}
@@ -186,6 +194,9 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		delete(d.open, incident.instance())
+		if !incident.Broken {
+			d.silent--
+		}
 	}()
 	start := time.Now()
 	found := d.findEvidence(ctx, incident)
--- a/internal/backend/crashdetect/crashdetect_test.go
+++ b/internal/backend/crashdetect/crashdetect_test.go
@@ -111,6 +111,32 @@
 	}
 }
 
+// TestSilentRequestsKeepNoBrokenOnesOut guards against requests that time out at sound servers, as
+// a whole batch may, and that keep an ended server from being noticed.
+func TestSilentRequestsKeepNoBrokenOnesOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		servers := &inventory.Inventory{}
+		servers.Set(server)
+		ended := 0
+		detector := &crashdetect.Detector{
+			Logger: slog.New(slog.DiscardHandler), OnEnded: func(crashdetect.Incident) { ended++ },
+			Prober: &fakeProber{results: []probe.Result{probe.NotListening}}, Servers: servers,
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		group.Go(func() error { return detector.Run(ctx) })
+		for n := range 1000 {
+			detector.Submit(crashdetect.Incident{Content: uint64(n), Server: server})
+		}
+		detector.Submit(crashdetect.Incident{Broken: true, Content: 1000, Server: server})
+		wait.For(ctx, time.Second)
+		is.Equal(ended, 1)
+		cancel()
+		is.NoErr(group.Wait())
+	})
+}
+
 // fakeLinks is true if this host reaches other servers.
 type fakeLinks bool
 
