Send reward calls that servers leave unanswered after others

What callers saw: items of other batches stay without their score.

The cause: a host uses a third of a server's slots for reward calls. Calls that every server leaves unanswered are tried without end, hold these slots until their time limit, and went before the calls of groups with more unfinished items.

The change: a call with three attempts in a row without an answer goes after all others. TestCallsWithoutAnswersGoLast: such calls went first before, last now.

--- a/internal/rollout/reward/reward.go
+++ b/internal/rollout/reward/reward.go
@@ -35,6 +35,9 @@
 	// doubles with each further one up to maxBackoff.
 	initialBackoff = 100 * time.Millisecond
 	maxBackoff     = time.Second
+	// failingAttempts is the number of attempts in a row without an answer after which a call
+	// goes after others: the servers may be sound and the call at fault.
+	failingAttempts = 3
 )
 
 // Call is the reward request of one item whose text is complete, with the data that the
@@ -49,8 +52,9 @@
 	// target function.
 	Data T
 
-	// failures counts the answers that report a failed run.
-	failures int
+	// failures counts the answers that report a failed run, and unanswered the attempts in a row
+	// without an answer.
+	failures, unanswered int
 	// notBefore is the earliest time for the next attempt while none is in flight.
 	notBefore time.Time
 	// backoff is the back-off after the next failed attempt.
@@ -151,14 +155,15 @@
 // Len returns the number of calls that have no answer yet.
 func (q *Queue[T]) Len() int { return len(q.calls) }
 
-// Next returns the attempts to start now. Calls of the groups with the fewest unfinished
-// items go first, then those whose text was complete first. target returns false for a
+// Next returns the attempts to start now. Calls that servers leave unanswered again and again go
+// last. Of the others, calls of the groups with the fewest unfinished items go first, then those
+// whose text was complete first. target returns false for a
 // call that has no route at the moment.
 func (q *Queue[T]) Next(
 	now time.Time, target func(T) (Target, bool), candidatesOf func(service string) []inventory.Candidate,
 ) []Attempt[T] {
 	slices.SortStableFunc(q.calls, func(a, b *Call[T]) int {
-		return cmp.Or(cmp.Compare(a.Unfinished(), b.Unfinished()), a.CompletedAt.Compare(b.CompletedAt))
+		return cmp.Or(cmp.Compare(a.keepsFailing(), b.keepsFailing()), cmp.Compare(a.Unfinished(), b.Unfinished()), a.CompletedAt.Compare(b.CompletedAt))
 	})
 	services := make(map[string][]inventory.Candidate)
 	var attempts []Attempt[T]
@@ -191,6 +196,14 @@
 	return attempts
 }
 
+// keepsFailing returns 1 for a call that several attempts in a row have left unanswered, else 0.
+func (c *Call[T]) keepsFailing() int {
+	if c.unanswered >= failingAttempts {
+		return 1
+	}
+	return 0
+}
+
 // isDue reports whether another attempt of the call may start now. That is the
 // first attempt, a retry after the back-off, or a hedged attempt if the attempt
 // in flight has taken longer than the hedge delay.
@@ -264,6 +277,12 @@
 	}
 	delete(c.inFlight, server)
 	switch {
+	case answer.Err == nil:
+		c.unanswered = 0
+	case answer.Ran != kind.RanNo:
+		c.unanswered++
+	}
+	switch {
 	case answer.Err == nil && answer.Ran != kind.RanNo && answer.Status/100 == 2 && answer.Signature != "":
 		q.Remove(c)
 		return VerdictScored
--- a/internal/rollout/reward/reward_test.go
+++ b/internal/rollout/reward/reward_test.go
@@ -112,6 +112,33 @@
 	is.True(second[0].Repeat)
 }
 
+// TestCallsWithoutAnswersGoLast guards against calls that every server leaves unanswered and that
+// keep other calls from all servers. A host uses two of the six slots.
+func TestCallsWithoutAnswersGoLast(t *testing.T) {
+	is := is.New(t)
+	q := newQueue()
+	add(q, "silent-0")
+	add(q, "silent-1")
+	now := epoch
+	for range 3 {
+		for _, attempt := range q.Next(now, target, staticCandidates(servers(1))) {
+			is.Equal(q.Finish(attempt, connReset, now), reward.VerdictRetry)
+		}
+		now = now.Add(time.Minute)
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		q.Add(&reward.Call[string]{CompletedAt: now, Unfinished: func() int { return 9 }, Data: name})
+	}
+	var order []string
+	for q.Len() > 2 {
+		for _, attempt := range q.Next(now, target, staticCandidates(servers(1))) {
+			order = append(order, attempt.Call.Data)
+			q.Finish(attempt, scored, now)
+		}
+	}
+	is.Equal(order[:3], []string{"a", "b", "c"})
+}
+
 func TestCallWaitsForRoute(t *testing.T) {
 	is := is.New(t)
 	q := newQueue()
