Keep requests that no server can serve from backing servers off for others

What callers saw: with a request that servers refuse or break off, one client keeps up to twice its route's attempts of engines from the items of all batches, 0.15 to 4 s each time it comes.

A refusal or a broken answer backed the server off for all work, whatever the reason.

The change: what may be due to the request counts for single requests and reward calls only, which prefer other servers then and use these all the same if there are no others. Of the refusals of one request only the first counts. A server that can't be reached, or has a request limit, still backs off for all.

--- a/internal/backend/inventory/inventory.go
+++ b/internal/backend/inventory/inventory.go
@@ -66,6 +66,9 @@
 	// BackingOff is true while new work should go to other servers, after a failure or
 	// because the server was full.
 	BackingOff bool
+	// RequestsBackingOff is true while new single requests should go to other servers, after a
+	// refusal or a failure of one that may be due to that request.
+	RequestsBackingOff bool
 	// KVTokens is the number of tokens that the server's memory holds, as the server itself
 	// reported; zero if it isn't known.
 	KVTokens int
@@ -73,6 +76,9 @@
 	RequestLimit RequestLimit
 }
 
+// IsAvoidedByRequests reports whether new single requests should go to other servers.
+func (c Candidate) IsAvoidedByRequests() bool { return c.BackingOff || c.RequestsBackingOff }
+
 // observations holds what this host has observed of one server.
 type observations struct {
 	// answeredAt is when the server last answered or generated an event.
@@ -83,7 +89,11 @@
 	reportedRequests int
 	reportedAt       time.Time
 	backoffUntil     time.Time
-	kvTokens         int
+	// requestFailures and requestBackoffUntil are failures and backoffUntil for single requests
+	// only.
+	requestFailures     int
+	requestBackoffUntil time.Time
+	kvTokens            int
 	// versions holds the weight versions that answers carried since the entry was set.
 	// They override those of the entry.
 	versions map[string]int64
@@ -346,6 +356,7 @@
 		c := Candidate{Server: s, ReportedRequests: -1}
 		if seen := v.observedByID[id]; seen != nil {
 			c.InFlight, c.EventInterval, c.BackingOff = seen.inFlight, seen.eventInterval, now.Before(seen.backoffUntil)
+			c.RequestsBackingOff = now.Before(seen.requestBackoffUntil)
 			c.KVTokens, c.RequestLimit = seen.kvTokens, seen.limit.RequestLimit
 			if now.Sub(seen.reportedAt) < maxReportAge {
 				c.ReportedRequests = seen.reportedRequests
@@ -389,6 +400,7 @@
 	defer v.mu.Unlock()
 	seen := v.observed(id)
 	seen.answeredAt, seen.failures, seen.backoffUntil = v.now(), 0, time.Time{}
+	seen.requestFailures, seen.requestBackoffUntil = 0, time.Time{}
 	if requests >= 0 {
 		seen.reportedRequests, seen.reportedAt = requests, v.now()
 	}
@@ -434,13 +446,29 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	seen := v.observed(id)
-	backoff := min(initialBackoff<<min(seen.failures, 8), maxBackoff)
+	backoff := backoffAfter(seen.failures)
 	seen.failures++
 	seen.backoffUntil = v.now().Add(backoff)
 	v.notify()
 	return backoff
 }
 
+// RecordRequestFailure records a failure of a single request that the server or the request may
+// have caused. The back-off that begins is for single requests only.
+func (v *Inventory) RecordRequestFailure(id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	seen := v.observed(id)
+	seen.requestBackoffUntil = v.now().Add(backoffAfter(seen.requestFailures))
+	seen.requestFailures++
+}
+
+// backoffAfter returns the length of the back-off after a failure that follows the given number
+// of failures in a row.
+func backoffAfter(failures int) time.Duration {
+	return min(initialBackoff<<min(failures, 8), maxBackoff)
+}
+
 // BackOff backs a server off for wait after it refused a request because it is overloaded.
 // This does not count as a failure.
 func (v *Inventory) BackOff(id string, wait time.Duration) {
@@ -450,6 +478,14 @@
 	seen.backoffUntil = v.now().Add(wait)
 }
 
+// BackOffRequests is BackOff for single requests only: the server may have refused a request for
+// what it asks.
+func (v *Inventory) BackOffRequests(id string, wait time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.observed(id).requestBackoffUntil = v.now().Add(wait)
+}
+
 // eventIntervalWeight is the weight of a new sample in the moving average of event
 // intervals.
 const eventIntervalWeight = 0.2
--- a/internal/request/forward/exchange.go
+++ b/internal/request/forward/exchange.go
@@ -66,6 +66,10 @@
 		x.metrics.countAttempt(ctx, attemptRelayed)
 		return
 	}
+	if a.refused() && x.attempts.notRun == 0 {
+		// A request that several servers refuse may be at fault itself.
+		x.Inventory.BackOffRequests(a.server.ID, minRetryAfter)
+	}
 	x.attempts.recordEnd(a.ran)
 	if a.response == nil && a.ran == kind.RanNo && !errors.Is(a.err, plain.ErrNotAdmitted) {
 		x.attempts.unreached = true
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -148,6 +148,9 @@
 	}
 }
 
+// refused reports whether the server answered that it did not run the request.
+func (a answer) refused() bool { return a.response != nil && a.ran == kind.RanNo && !a.relayed }
+
 // Serve writes the answer of a server of the route to w. It returns an error, which
 // carries a kind, only if it has written nothing to w. If the answer fails after that,
 // Serve panics with [http.ErrAbortHandler] to close the caller's connection.
@@ -278,6 +281,9 @@
 ) Outcome {
 	a := f.send(ctx, candidate, request, deadline, atMostOnce)
 	defer a.close()
+	if a.refused() {
+		f.Inventory.BackOffRequests(candidate.ID, minRetryAfter)
+	}
 	if a.response == nil {
 		return Outcome{Err: a.err, Ran: a.ran}
 	}
@@ -323,14 +329,13 @@
 		case kind.Is(err, kind.BadRequest):
 			// The request can't be sent to any server.
 		case ctx.Err() == nil && request.Grant.Check() == nil:
-			f.Inventory.RecordFailure(candidate.ID)
+			f.recordFailure(candidate.ID, err)
 		}
 		return answer{server: candidate.Server, err: err, ran: kind.Of(err).Ran, sent: sent}
 	}
 	a := answer{server: candidate.Server, response: response, ran: kind.RanYes, sent: sent}
 	if response.Header.Get(f.Dialect.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		a.ran = kind.RanNo
-		f.Inventory.BackOff(candidate.ID, minRetryAfter)
 		return a
 	}
 	a.head, a.hasMore, err = f.readHead(response)
@@ -344,6 +349,16 @@
 	return a
 }
 
+// recordFailure backs off a server that gave no answer. A server that can't be reached backs off
+// for all work; otherwise the request may be the cause, and it backs off for requests only.
+func (f *Forwarder) recordFailure(server string, err error) {
+	if kind.Of(err).Ran == kind.RanNo {
+		f.Inventory.RecordFailure(server)
+		return
+	}
+	f.Inventory.RecordRequestFailure(server)
+}
+
 // readHead reads the body of an answer up to the buffer size, or nothing of an event stream.
 func (f *Forwarder) readHead(response *http.Response) (head []byte, hasMore bool, err error) {
 	if isEventStream(response) {
--- a/internal/request/forward/policy.go
+++ b/internal/request/forward/policy.go
@@ -194,7 +194,7 @@
 
 // isUsable reports whether a server is as good as others for a new request.
 func isUsable(candidate inventory.Candidate) bool {
-	return !candidate.BackingOff && !candidate.RequestLimit.Named
+	return !candidate.IsAvoidedByRequests() && !candidate.RequestLimit.Named
 }
 
 // zonesOf returns the availability zones of the usable servers that have not been tried.
@@ -244,7 +244,7 @@
 	if candidate.RequestLimit.Named {
 		cost += limitedCost
 	}
-	if candidate.BackingOff {
+	if candidate.IsAvoidedByRequests() {
 		cost += backoffCost
 	}
 	return cost
--- a/internal/rollout/batchrun/scoring.go
+++ b/internal/rollout/batchrun/scoring.go
@@ -128,7 +128,7 @@
 		Body: request.Body, Header: http.Header{}, Host: request.Host, ID: request.ID, Method: http.MethodPost, Target: request.Target,
 	}, deadline, start.Repeat)
 	if ctx.Err() != nil && call.ctx.Err() == nil {
-		r.Inventory.RecordFailure(start.Server.ID)
+		r.Inventory.RecordRequestFailure(start.Server.ID)
 	}
 	answer = reward.Answer{Err: outcome.Err, Ran: outcome.Ran, Status: outcome.Status}
 	if outcome.Err == nil {
--- a/internal/rollout/reward/reward.go
+++ b/internal/rollout/reward/reward.go
@@ -231,7 +231,7 @@
 		_, inFlight := c.inFlight[s.ID]
 		return inFlight
 	})
-	eligible := slices.DeleteFunc(slices.Clone(available), func(s inventory.Candidate) bool { return s.BackingOff })
+	eligible := slices.DeleteFunc(slices.Clone(available), func(s inventory.Candidate) bool { return s.IsAvoidedByRequests() })
 	if len(eligible) == 0 {
 		eligible = available
 	}
