Take no answer with status 000 for an answer of a server

Here callers got 101, 600 and 999 as the answer, with the server's signature and body; with 000 and 099 their connection was closed without a word.

The cause: the HTTP library reads each status of three digits, and 101 though nobody asked for another protocol. The answer was passed on as it was. For 000 and 099 the library's WriteHeader panicked, so a panic decided what the caller got, and no line of ours had the request's id. Such an answer also reset back-offs, and its header was believed: that the server leaves, its request limit, that it has not run the request.

The change: the client of backend servers (plain.Client), which all requests to servers of the platform go through (callers, streams, items, reward calls, orders, status queries), accepts statuses from 200 to 599. Anything else is an error that says that the request may have run, and closes the connection. So requests that may be repeated go to another server, others get 502, and the lines of the attempt and of the request have id, server and outcome.

--- a/internal/backend/plain/client.go
+++ b/internal/backend/plain/client.go
@@ -25,6 +25,7 @@
 
 	"github.com/nutmegway/nutmegway/internal/backend/reach"
 	"github.com/nutmegway/nutmegway/internal/base/httperror"
+	"github.com/nutmegway/nutmegway/internal/base/httpstatus"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/base/probe"
 )
@@ -134,7 +135,7 @@
 }
 
 // Do sends the request to the server at address, an IP address and port, and returns its
-// answer. The caller must close the answer's body. Closing it before it is read to its end
+// answer, whose status is one from 200 to 599. The caller must close the answer's body. Closing it before it is read to its end
 // closes the connection too. Each error has a kind and says whether the request may have
 // run. It says RanNo only if no byte of the request was written to a connection.
 func (c *Client) Do(ctx context.Context, address string, request Request) (*http.Response, error) {
@@ -172,16 +173,28 @@
 		span.RecordError(err)
 		return nil, transportError(ctx, err, tracker.seal())
 	}
-	if id := response.Header.Get(httperror.HeaderRequestID); id != "" && id != request.RequestID {
+	if err := checkAnswer(response, request.RequestID); err != nil {
+		span.RecordError(err)
 		tracker.seal()
 		_ = response.Body.Close()
-		return nil, kind.New(kind.OutcomeUnknown, "server answered request %q with the id of another request", request.RequestID)
+		return nil, err
 	}
 	c.Observe(address, request.Server, response, admitted)
 	RemoveHopByHop(response.Header)
 	return response, nil
 }
 
+// checkAnswer returns an error if the response is not an answer to the request with the id.
+func checkAnswer(response *http.Response, requestID string) error {
+	if !httpstatus.IsFinal(response.StatusCode) {
+		return kind.New(kind.OutcomeUnknown, "server answered request %q with status %03d, want one from 200 to 599", requestID, response.StatusCode)
+	}
+	if id := response.Header.Get(httperror.HeaderRequestID); id != "" && id != requestID {
+		return kind.New(kind.OutcomeUnknown, "server answered request %q with the id of another request", requestID)
+	}
+	return nil
+}
+
 func (c *Client) admit(ctx context.Context, request Request) (Permit, error) {
 	if c.Gate == nil || request.Server == "" {
 		return Permit{}, nil
