Take no answer with an odd status from another host

What callers saw: a host of an earlier version that serves a request for an isolated host hands back whatever a server sends, and the caller got it, or a closed connection by a panic.

The change: the client of the link checks the status as the client of servers does. The request may have run. TestOddStatusOverTheLinkIsNoAnswer: 6 of 6 cases failed before.

--- a/internal/request/forwardlink/client.go
+++ b/internal/request/forwardlink/client.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/nutmegway/nutmegway/internal/base/httpstatus"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
 	"github.com/nutmegway/nutmegway/internal/fleet/roster"
@@ -206,6 +207,10 @@
 	if head == nil {
 		return nil, "", c.linkError(classError.New("the answer has no head"))
 	}
+	if !httpstatus.IsFinal(int(head.GetStatus())) {
+		// A host of an earlier version hands back whatever a server sends.
+		return nil, "", c.linkError(classError.New("server %q answered with status %03d, want one from 200 to 599", head.GetServer(), head.GetStatus()))
+	}
 	response = &http.Response{
 		Body: &answerBody{call: c}, ContentLength: -1, Header: decodeHeader(head.GetHeaders()), StatusCode: int(head.GetStatus()),
 		// The end of the answer is marked on the link, however its server framed it.
--- a/internal/request/forwardlink/forwardlink_test.go
+++ b/internal/request/forwardlink/forwardlink_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -115,6 +116,24 @@
 	return response, err
 }
 
+// TestOddStatusOverTheLinkIsNoAnswer guards against a host of an earlier version that hands back an
+// answer whose status ends no exchange.
+func TestOddStatusOverTheLinkIsNoAnswer(t *testing.T) {
+	for _, status := range []int{0, 99, 101, 600, 999, -1} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			is := is.New(t)
+			entry, _, _ := start(t, "h1", &fakeHost{serve: func(_ context.Context, w http.ResponseWriter, _ forward.Request) error {
+				w.WriteHeader(status)
+				_, err := io.WriteString(w, "odd")
+				return err
+			}})
+			_, err := forwardTo(t, newClient(t, entry))
+			is.True(kind.Is(err, kind.OutcomeUnknown))
+			is.Equal(kind.Of(err).Ran, kind.RanUnknown)
+		})
+	}
+}
+
 func TestRequestAndAnswerPassUnchanged(t *testing.T) {
 	is := is.New(t)
 	var got forward.Request
