Take no odd status of an engine or the weight store for success

What callers saw: own interface, by a test: an order, a generation or a published version counted as done when the answer's status was 000, 099 or 101, since any status below 300 did; 600 and above counted as a failure of a run.

The change: success is the class 2xx. A status that ends no exchange leaves the outcome unknown. TestOddStatusIsNoAnswer: 5 of 5 cases failed before; TestOddStatusPublishesNothing: 3 of 5.

--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -20,6 +20,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/nutmegway/nutmegway/internal/base/httperror"
+	"github.com/nutmegway/nutmegway/internal/base/httpstatus"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 )
 
@@ -149,7 +150,11 @@
 	if err != nil {
 		return nil, transportError(ctx, err, connected.Load())
 	}
-	if response.StatusCode >= http.StatusMultipleChoices {
+	if !httpstatus.IsFinal(response.StatusCode) {
+		_ = response.Body.Close()
+		return nil, kind.New(kind.OutcomeUnknown, "engine answered %s with status %03d, want one from 200 to 599", path, response.StatusCode)
+	}
+	if !httpstatus.IsSuccess(response.StatusCode) {
 		defer response.Body.Close() //nolint:errcheck // Nothing is written, so the error doesn't matter.
 		return nil, httperror.Read(response)
 	}
--- /dev/null
+++ b/internal/backend/engine/client_test.go
@@ -0,0 +1,35 @@
+package engine_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/nutmegway/nutmegway/internal/backend/engine"
+	"github.com/nutmegway/nutmegway/internal/base/kind"
+)
+
+// TestOddStatusIsNoAnswer guards against calls that count as carried out because the engine's answer
+// has a status that ends no exchange.
+func TestOddStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000 X", "099 X", "101 X", "600 X", "999 X"} {
+		t.Run(status, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				is.NoErr(err)
+				fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Length: 2\r\n\r\n{}", status)
+				is.NoErr(conn.Close())
+			}))
+			defer server.Close()
+			client := engine.Client{Address: strings.TrimPrefix(server.URL, "http://")}
+			is.True(kind.Is(client.Order(t.Context(), engine.Order{}), kind.OutcomeUnknown))
+			_, err := client.Generate(t.Context(), engine.Request{ID: "a"})
+			is.True(kind.Is(err, kind.OutcomeUnknown))
+		})
+	}
+}
--- a/internal/external/weightstore/client.go
+++ b/internal/external/weightstore/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/nutmegway/nutmegway/internal/base/httpstatus"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 )
 
@@ -103,8 +104,8 @@
 		return kind.New(kind.NotFound, "the weight store has no such model")
 	case response.StatusCode == http.StatusConflict:
 		return kind.New(kind.Conflict, "the weight store already has a different version with this number")
-	case response.StatusCode >= http.StatusMultipleChoices:
-		return kind.New(kind.Unavailable, "weight store: status %d, want below %d", response.StatusCode, http.StatusMultipleChoices)
+	case !httpstatus.IsSuccess(response.StatusCode):
+		return kind.New(kind.Unavailable, "weight store: status %03d, want one of the class 2xx", response.StatusCode)
 	default:
 		return nil
 	}
--- /dev/null
+++ b/internal/external/weightstore/client_test.go
@@ -0,0 +1,33 @@
+package weightstore_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/nutmegway/nutmegway/internal/base/kind"
+	"github.com/nutmegway/nutmegway/internal/external/weightstore"
+)
+
+// TestOddStatusPublishesNothing guards against a version that counts as published because the
+// store's answer has a status that ends no exchange.
+func TestOddStatusPublishesNothing(t *testing.T) {
+	for status, want := range map[string]kind.Kind{"000 X": kind.Unavailable, "099 X": kind.Unavailable, "101 X": kind.Unavailable, "600 X": kind.Unavailable, "204 X": ""} {
+		t.Run(status, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				is.NoErr(err)
+				fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n", status)
+				is.NoErr(conn.Close())
+			}))
+			defer server.Close()
+			err := weightstore.Client{BaseURL: server.URL}.Publish(t.Context(), weightstore.Version{Model: "m", Number: 2})
+			is.Equal(err == nil, want == "")
+			is.True(want == "" || kind.Is(err, want))
+		})
+	}
+}
