Log each answer that isn't passed on in full

A caller whose answer broke off, because its server, another host or the caller itself ended it, sees a closed connection. The handler's panic with ErrAbortHandler is how the HTTP library closes it, but only some of these cases had a line. Each has one now with the request's id, the server, the status and who ended it; TestInterruptedStreamInterruptsAnswer checks it.

--- a/internal/backend/dialect/dialect.go
+++ b/internal/backend/dialect/dialect.go
@@ -42,9 +42,9 @@
 	ResumedAttempt string
 	// Signature is the response header with the server's signature of the answer.
 	Signature string
-	// TokenCount is the request header with the number of tokens of the prompt and the largest
-	// number of tokens to generate, separated by a comma.
-	TokenCount string
+	// Size is the request header with the number of tokens of the prompt and the largest number of
+	// tokens to generate, separated by a comma.
+	Size string
 	// WeightVersion is the response header with the weight version of the answer. The
 	// events of a stream use it as a field name, in lower case.
 	WeightVersion string
@@ -60,13 +60,13 @@
 	return value != "" && value != "0"
 }
 
-// ParseTokenCount returns the memory that a request needs in tokens, or zero if its header doesn't
-// say so.
-func (d Dialect) ParseTokenCount(header http.Header) int {
-	if d.TokenCount == "" {
+// ParseSize returns the memory that a request needs in tokens, or zero if its header doesn't say
+// so.
+func (d Dialect) ParseSize(header http.Header) int {
+	if d.Size == "" {
 		return 0
 	}
-	prompt, output, ok := strings.Cut(header.Get(d.TokenCount), ",")
+	prompt, output, ok := strings.Cut(header.Get(d.Size), ",")
 	p, errPrompt := strconv.Atoi(strings.TrimSpace(prompt))
 	o, errOutput := strconv.Atoi(strings.TrimSpace(output))
 	if !ok || errPrompt != nil || errOutput != nil || p < 0 || o < 0 || p+o < 0 {
--- a/internal/backend/generation/generation.go
+++ b/internal/backend/generation/generation.go
@@ -50,15 +50,15 @@
 // increase from the one that the run resumes after.
 var ErrOutOfOrder = classError.New("events are out of order")
 
-// Refusal is in the chain of the error of a run that the server refused without running it.
-type Refusal struct {
+// RefusalError is in the chain of the error of a run that the server refused without running it.
+type RefusalError struct {
 	// Load is the load header of the answer; empty if the answer has none.
 	Load   string
 	Status int
 }
 
 // Error implements error.
-func (r *Refusal) Error() string {
+func (r *RefusalError) Error() string {
 	return fmt.Sprintf("server refused the request with status %d", r.Status)
 }
 
@@ -258,7 +258,7 @@
 	status := response.StatusCode
 	switch {
 	case response.Header.Get(c.Dialect.NotRun) != "" || status == http.StatusMisdirectedRequest:
-		return OutcomeNotRun, classError.Wrap(&Refusal{Load: response.Header.Get(c.Dialect.Load), Status: status})
+		return OutcomeNotRun, classError.Wrap(&RefusalError{Load: response.Header.Get(c.Dialect.Load), Status: status})
 	case status == http.StatusOK:
 		return "", nil
 	case status == http.StatusUnprocessableEntity:
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -203,17 +203,29 @@
 		return err
 	}
 	defer final.close()
-	intake.FromContext(ctx).Charge(int64(len(final.head)))
 	f.metrics.count(ctx, "answered", time.Since(request.Arrived))
+	x.deliver(ctx, w, final)
+	return nil
+}
+
+// deliver writes the final answer to w. If it can't be written in full, deliver panics with
+// [http.ErrAbortHandler].
+func (x *exchange) deliver(ctx context.Context, w http.ResponseWriter, final answer) {
+	intake.FromContext(ctx).Charge(int64(len(final.head)))
 	x.recordOrigin(final)
 	if recorder, ok := w.(ServerRecorder); ok {
 		recorder.RecordServer(final.server.ID)
 	}
-	switch err := writeAnswer(w, final); {
-	case err == nil:
+	err := writeAnswer(w, final)
+	if err == nil {
 		x.reportAnswered()
-		return nil
-	case errors.Is(err, errAnswerInterrupted) && ctx.Err() == nil && !final.relayed:
+		return
+	}
+	endedByServer := errors.Is(err, errAnswerInterrupted) && ctx.Err() == nil
+	x.Logger.LogAttrs(ctx, slog.LevelInfo, "answer not passed on in full", slog.String("request-id", x.request.ID),
+		slog.String("server", final.server.ID), slog.Bool("relayed", final.relayed), slog.Int("status", final.response.StatusCode),
+		slog.Bool("ended-by-server", endedByServer), slog.Duration("after", time.Since(x.request.Arrived)), slog.Any("error", err))
+	if endedByServer && !final.relayed {
 		x.logFailedAttempt(ctx, answer{server: final.server, err: err, ran: kind.RanYes})
 		x.unanswered[final.server.ID] = x.newIncident(final.server, true)
 		x.investigateUnanswered(ctx, err)
@@ -240,7 +252,7 @@
 // servers would refuse it as if they were full, however often it came. If only the chosen service
 // is too small, checkSize chooses another one of the route.
 func (x *exchange) checkSize() error {
-	needed := x.Dialect.ParseTokenCount(x.request.Header)
+	needed := x.Dialect.ParseSize(x.request.Header)
 	if x.KVTokens == nil || needed == 0 || x.isServedBy(x.service, needed) {
 		return nil
 	}
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -185,6 +186,8 @@
 		panic(http.ErrAbortHandler)
 	})
 	f := newForwarder(s)
+	var log bytes.Buffer
+	f.Logger = slog.New(slog.NewTextHandler(&log, nil))
 	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_ = f.Serve(r.Context(), w, request(), config.Route{
 			MaxAttempts: 1, Repeat: config.RepeatNever, Streaming: true, Targets: []config.Target{{Service: "s", Weight: 1}},
@@ -197,6 +200,8 @@
 	body, err := io.ReadAll(response.Body)
 	is.True(err != nil) // the caller does not mistake it for a complete answer
 	is.Equal(string(body), "id: 1\ndata: a\n\n")
+	entry.Close() // Waits for the handler.
+	is.True(strings.Contains(log.String(), `msg="answer not passed on in full" request-id=r1 server=0 relayed=false status=200 ended-by-server=true`))
 }
 
 func TestParseLoad(t *testing.T) {
--- a/internal/request/forward/size_test.go
+++ b/internal/request/forward/size_test.go
@@ -34,7 +34,7 @@
 			is := is.New(t)
 			server := newServer(t, answerComplete)
 			f := newForwarder(server)
-			f.Dialect.TokenCount = "Token-Count"
+			f.Dialect.Size = "Token-Count"
 			f.KVTokens = func(string) int { return c.told }
 			f.Inventory.RecordMemory("0", c.reported)
 			r := request()
@@ -61,7 +61,7 @@
 	small, large := newServer(t, answerNotRun), newServer(t, answerComplete)
 	f := newForwarder(small)
 	f.Inventory.Set(inventory.Server{Address: strings.TrimPrefix(large.URL, "http://"), ID: "large", Service: "large", Slots: 1, Zone: "z"})
-	f.Dialect.TokenCount = "Token-Count"
+	f.Dialect.Size = "Token-Count"
 	f.KVTokens = func(service string) int { return map[string]int{"s": 500, "large": 2000}[service] }
 	r := request()
 	r.Header.Set("Token-Count", "900,101")
--- a/internal/rollout/batchrun/isolation_test.go
+++ b/internal/rollout/batchrun/isolation_test.go
@@ -65,15 +65,15 @@
 	return b
 }
 
-// awaitCompleted waits until n items of the batch are completed.
-func awaitCompleted(t *testing.T, s *batchrun.Service, id string, n int) {
+// awaitCompleted waits until n items of the batch of sampleBatch are completed.
+func awaitCompleted(t *testing.T, s *batchrun.Service, n int) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
 	completed, after := 0, 0
 	for completed < n && ctx.Err() == nil {
 		wait, stop := context.WithTimeout(ctx, 200*time.Millisecond)
-		page, err := s.Read(wait, id, after)
+		page, err := s.Read(wait, "x", after)
 		stop()
 		if err != nil {
 			t.Fatal(err)
@@ -86,7 +86,7 @@
 		}
 	}
 	if completed < n {
-		t.Errorf("got %d completed items of batch %s, want %d", completed, id, n)
+		t.Errorf("got %d completed items, want %d", completed, n)
 	}
 }
 
@@ -101,7 +101,7 @@
 			// There are 8 slots.
 			is.NoErr(h.service.Submit(t.Context(), hopelessBatch("first", 64)))
 			is.NoErr(h.service.Submit(t.Context(), sampleBatch(64)))
-			awaitCompleted(t, h.service, "x", 64)
+			awaitCompleted(t, h.service, 64)
 		})
 	}
 }
@@ -117,7 +117,7 @@
 			b := sampleBatch(64)
 			b.Items = append(hopelessBatch("x", 16).Items, b.Items...)
 			is.NoErr(h.service.Submit(t.Context(), b))
-			awaitCompleted(t, h.service, "x", 64)
+			awaitCompleted(t, h.service, 64)
 		})
 	}
 }
@@ -136,7 +136,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	is.NoErr(second.service.Submit(t.Context(), sampleBatch(64)))
-	awaitCompleted(t, second.service, "x", 64)
+	awaitCompleted(t, second.service, 64)
 }
 
 // TestItemsLargerThanEveryEngineAreNotSent guards against items that are sent to engines that are
@@ -170,7 +170,7 @@
 			b := sampleBatch(3)
 			b.Items[0].Tokens, b.Items[1].Tokens = 1000, 500
 			is.NoErr(h.service.Submit(t.Context(), b))
-			awaitCompleted(t, h.service, "x", 2)
+			awaitCompleted(t, h.service, 2)
 			is.Equal(len(engine.requests()), 2)
 			demand := h.service.Runner.Demand()
 			is.Equal(demand.Batches[0].Unfinished, 0) // more engines of the same size are of no use
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -356,7 +356,7 @@
 // refusalLoad returns the load header of the answer by which an engine refused a run; empty if
 // err isn't a refusal or the answer has no such header.
 func refusalLoad(err error) string {
-	var refusal *generation.Refusal
+	var refusal *generation.RefusalError
 	if errors.As(err, &refusal) {
 		return refusal.Load
 	}
--- a/internal/rollout/batchrun/sendable_test.go
+++ b/internal/rollout/batchrun/sendable_test.go
@@ -51,7 +51,7 @@
 			_, _, err := (&batch.Store{KV: store}).Accept(t.Context(), b, batch.Owner{})
 			is.NoErr(err)
 			h := newHost(t, "a", store, newEngine(t))
-			awaitCompleted(t, h.service, "x", 8)
+			awaitCompleted(t, h.service, 8)
 			is.Equal(h.inventory.Candidates("s")[0].BackingOff, false)
 		})
 	}
