Bound the engines that back off without proof that they are at fault

What callers saw: by a test: a caller that submits a batch after the other which no engine can serve, of one item each, keeps all engines in back-off for all others, since each batch may put one engine into back-off before it counts as suspect.

The change: at most a third of a service's engines back off for all batches as long as the item of a run may be at fault as well. Engines that can't be reached, don't go on with a text that they have begun, or failed an item that another one answered aren't bounded.

--- a/internal/backend/inventory/inventory.go
+++ b/internal/backend/inventory/inventory.go
@@ -432,6 +432,19 @@
 	return largest
 }
 
+// BackingOffShare returns the share of the service's servers that are backing off.
+func (v *Inventory) BackingOffShare(service string) float64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	ids, now, backingOff := v.byService[service], v.now(), 0
+	for _, id := range ids {
+		if seen := v.observedByID[id]; seen != nil && now.Before(seen.backoffUntil) {
+			backingOff++
+		}
+	}
+	return float64(backingOff) / float64(max(len(ids), 1))
+}
+
 // AnsweredSince reports whether the server has answered or generated an event after t.
 func (v *Inventory) AnsweredSince(id string, t time.Time) bool {
 	v.mu.Lock()
--- a/internal/rollout/batchrun/blame.go
+++ b/internal/rollout/batchrun/blame.go
@@ -17,6 +17,9 @@
 	// soundFor is how long an engine counts as sound after an event. It is shorter than the
 	// time after which a silent run counts as stalled.
 	soundFor = 500 * time.Millisecond
+	// maxUnprovenShare is the share of a service's engines from which on no further one backs off
+	// for all batches while it isn't certain that the engine is at fault.
+	maxUnprovenShare = 1.0 / 3
 )
 
 // keepsFailing reports whether the last runs of the item ended without an event, not counting
@@ -48,6 +51,12 @@
 	return len(engines) > 1 || len(engines) == 1 && !engines[engine]
 }
 
+// mayBlameEngine reports whether an engine may back off for all batches after a run that the item
+// may have failed as well. The caller holds the runner's mutex.
+func (br *batchRun) mayBlameEngine(s *itemState, engine inventory.Candidate) bool {
+	return !br.isSuspect(s, engine.ID) && br.runner.Inventory.BackingOffShare(engine.Service) < maxUnprovenShare
+}
+
 // recordBlame backs off the engine of an unsuccessful run. The engine backs off for all batches
 // unless the item seems to be the cause: then it backs off for the batch only, until another
 // engine has answered the item. The caller holds the runner's mutex.
@@ -56,7 +65,7 @@
 	if !r.responded {
 		s.eventless++
 	}
-	suspect := br.isSuspect(s, engine.ID)
+	mayBlame := br.mayBlameEngine(s, engine)
 	switch r.outcome {
 	case generation.OutcomeUnreachable:
 		inv.RecordFailure(engine.ID)
@@ -68,7 +77,7 @@
 		s.refused++
 		br.recordTurnedDown(s, engine.ID)
 		br.backoff.Refused(engine.ID, r.began, now)
-		if !suspect {
+		if mayBlame {
 			inv.BackOff(engine.ID, rejectionBackoff)
 		}
 	case generation.OutcomeBroken, generation.OutcomeStalled, generation.OutcomeFailed:
@@ -82,7 +91,7 @@
 		br.recordTurnedDown(s, engine.ID)
 		s.failedOn[engine.ID] = true
 		br.backoff.Failed(engine.ID, r.began, now)
-		if !suspect && !inv.AnsweredSince(engine.ID, now.Add(-soundFor)) {
+		if mayBlame && !inv.AnsweredSince(engine.ID, now.Add(-soundFor)) {
 			inv.RecordFailure(engine.ID)
 		}
 	case generation.OutcomeUnsendable:
--- a/internal/rollout/batchrun/isolation_test.go
+++ b/internal/rollout/batchrun/isolation_test.go
@@ -182,3 +182,29 @@
 		})
 	}
 }
+
+// TestManyHopelessBatchesLeaveMostEngines guards against a caller that submits one batch after the
+// other which no engine can serve. Each may put an engine into back-off before it is suspect.
+func TestManyHopelessBatchesLeaveMostEngines(t *testing.T) {
+	for name, hopeless := range hopelessRuns {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			engines := append(mixedEngines(t, hopeless), append(mixedEngines(t, hopeless), mixedEngines(t, hopeless)...)...)
+			h := newHost(t, "a", &kvmemory.Store{}, engines...)
+			most := 0
+			for n := range 60 {
+				is.NoErr(h.service.Submit(t.Context(), hopelessBatch(fmt.Sprintf("b%d", n), 1)))
+				time.Sleep(5 * time.Millisecond)
+				backingOff := 0
+				for _, c := range h.inventory.Candidates("s") {
+					if c.BackingOff {
+						backingOff++
+					}
+				}
+				most = max(most, backingOff)
+			}
+			is.True(most <= 2) // a third of the engines
+		})
+	}
+}
