Send paths to servers as the caller sent them

The cause: the target was parsed again when the request to the server was made, and the HTTP library writes a parsed path in its own form, without what follows a number sign.

The change: the target is sent as it is (as an opaque URL).

--- a/internal/backend/plain/client.go
+++ b/internal/backend/plain/client.go
@@ -15,6 +15,7 @@
 	"strings"
 	"sync"
 	"time"
+	"unicode"
 
 	"github.com/zeebo/errs"
 	"go.opentelemetry.io/otel"
@@ -286,6 +287,9 @@
 	if _, err := url.ParseRequestURI(target); err != nil {
 		return classError.New("path: %w", err)
 	}
+	if strings.ContainsFunc(target, func(r rune) bool { return r <= ' ' || r == unicode.MaxASCII }) {
+		return classError.New("path %q has a space or a control character", target)
+	}
 	for name, values := range header {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return classError.New("header %q, want a name of letters, digits and hyphens", name)
@@ -297,15 +301,36 @@
 	return nil
 }
 
+// setTarget sets what is sent as the path and the query. A parsed path would be escaped anew, and a
+// number sign in it would end it.
+func setTarget(u *url.URL, target string) {
+	if !strings.HasPrefix(target, "//") {
+		u.Opaque = target
+		return
+	}
+	// Opaque is sent with the scheme before it if it begins with two slashes. One slash and an
+	// opaque rest can't be told apart from it, so such a path is sent as it is parsed.
+	path, query, hasQuery := strings.Cut(target, "?")
+	u.Path, u.RawPath = path, path
+	if unescaped, err := url.PathUnescape(path); err == nil {
+		u.Path = unescaped
+	}
+	u.RawQuery, u.ForceQuery = query, hasQuery && query == ""
+}
+
 func newRequest(ctx context.Context, address string, request Request, tracker *sendTracker) (*http.Request, error) {
 	if err := CheckSendable(request.Target, request.Header); err != nil {
 		return nil, err
 	}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: tracker.gotConn, PutIdleConn: tracker.putIdle})
-	outgoing, err := http.NewRequestWithContext(ctx, request.Method, "http://"+address+request.Target, http.NoBody)
+	outgoing, err := http.NewRequestWithContext(ctx, request.Method, "http://"+address, http.NoBody)
 	if err != nil {
 		return nil, err
 	}
+	setTarget(outgoing.URL, request.Target)
+	if sent := outgoing.URL.RequestURI(); sent != request.Target {
+		return nil, classError.New("path %q would be sent as %q", request.Target, sent)
+	}
 	outgoing.Header = request.Header.Clone()
 	if outgoing.Header == nil {
 		outgoing.Header = make(http.Header)
