Take no success without the server's signature for an answer

The cause: an answer was refused only if it had the id of another request. One without an id and without the server's signature passed.

The change: a success must bear the signature, directly and over another host. Otherwise the server has given no answer: the request goes to another server if it may be repeated, else it gets 502. Additional bytes that look like a failure and have no id still pass.

--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -23,6 +23,7 @@
 	"github.com/nutmegway/nutmegway/internal/backend/dialect"
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
 	"github.com/nutmegway/nutmegway/internal/backend/plain"
+	"github.com/nutmegway/nutmegway/internal/base/httpstatus"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
 	"github.com/nutmegway/nutmegway/internal/request/account"
@@ -350,6 +351,11 @@
 		a.ran = kind.RanNo
 		return a
 	}
+	if err := f.checkSigned(response); err != nil {
+		_ = response.Body.Close()
+		f.Inventory.RecordRequestFailure(candidate.ID)
+		return answer{server: candidate.Server, err: err, ran: kind.RanUnknown, sent: sent}
+	}
 	a.head, a.hasMore, err = f.readHead(response)
 	if err != nil {
 		_ = response.Body.Close()
@@ -361,6 +367,15 @@
 	return a
 }
 
+// checkSigned returns an error for a success without the server's signature. A faulty server may
+// send bytes between two answers that look like one, and only the signature tells them apart.
+func (f *Forwarder) checkSigned(response *http.Response) error {
+	if f.Dialect.Signature == "" || !httpstatus.IsSuccess(response.StatusCode) || response.Header.Get(f.Dialect.Signature) != "" {
+		return nil
+	}
+	return kind.New(kind.OutcomeUnknown, "server answered with status %d without a signature", response.StatusCode)
+}
+
 // recordFailure backs off a server that gave no answer. A server that can't be reached backs off
 // for all work; otherwise the request may be the cause, and it backs off for requests only.
 func (f *Forwarder) recordFailure(server string, err error) {
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -91,6 +91,10 @@
 	if err != nil {
 		return answer{err: err, ran: kind.Of(err).Ran, relayed: true}
 	}
+	if err := x.checkSigned(response); err != nil {
+		_ = response.Body.Close()
+		return answer{err: err, ran: kind.RanUnknown, relayed: true}
+	}
 	// This host passes on what the server says of itself, and is bound by it.
 	if server, known := x.Inventory.Get(id); known {
 		x.Client.Observe(server.Address, id, response, started)
