Guard servers against reward calls that crash them

The cause: single requests and items are admitted by the quarantine and looked into if their connection breaks; reward calls were neither.

The change: an attempt of a reward call is admitted like a request. A call whose content is refused waits, a doubtful one has one attempt at a time, an answer clears it, and an attempt without an answer opens an incident.

TestRewardCallThatCrashesServersIsQuarantined.

--- a/internal/rollout/batchrun/quarantine_test.go
+++ b/internal/rollout/batchrun/quarantine_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -84,6 +89,58 @@
 	is.True(crashes <= atQuarantine+1) // One run may have been under way.
 }
 
+// TestRewardCallThatCrashesServersIsQuarantined submits an item whose reward call ends each of six
+// servers that receives it. After three ends the call waits, and the other items are scored.
+func TestRewardCallThatCrashesServersIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	logger := slog.New(slog.DiscardHandler)
+	var crashes atomic.Int32
+	store := &kvmemory.Store{}
+	registry := &poison.KVRegistry{
+		MayRemove: func(string) bool { return true }, HostCount: func() int { return 1 }, Logger: logger, Store: store,
+	}
+	var detector *crashdetect.Detector
+	h := newHostWith(t, "a", store, func(s *batchrun.Service) {
+		detector = &crashdetect.Detector{Logger: logger, Prober: &plain.Client{}, Servers: s.Runner.Inventory, OnEnded: func(i crashdetect.Incident) {
+			registry.RecordCrash(i.Content, poison.CrashID(i.Server.ID, time.UnixMilli(i.Server.Started)))
+		}}
+		s.Runner.CrashDetector, s.Runner.Quarantine = detector, registry
+	}, newEngine(t))
+	for n := range 6 {
+		server := httptest.NewUnstartedServer(nil)
+		server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			if string(body) == "crashes" {
+				crashes.Add(1)
+				_ = server.Listener.Close()
+				panic(http.ErrAbortHandler)
+			}
+			w.Header().Set("Stamp", "score")
+		})
+		server.Start()
+		t.Cleanup(server.Close)
+		addScorer(h, fmt.Sprintf("s%d", n), strings.TrimPrefix(server.URL, "http://"))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return detector.Run(ctx) })
+	defer func() {
+		cancel()
+		is.NoErr(group.Wait())
+	}()
+	b := scoredBatch(3)
+	b.Items[0].Reward.Body = []byte("crashes")
+	is.NoErr(h.service.Submit(t.Context(), b))
+	request := b.Items[0].Reward
+	content := poison.RequestFingerprint(http.MethodPost, request.Host, request.Target, request.Body)
+	for deadline := time.Now().Add(10 * time.Second); !registry.Refuses(content) && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(registry.Refuses(content))
+	awaitCompleted(t, h.service, 2)
+	is.True(crashes.Load() <= poison.DefaultCrashLimit+1) // one attempt may have been under way
+}
+
 // TestItemsThatReachedNoEngineAreNotSuspected guards against items that are suspected of having
 // ended engines that were gone before any byte of the item was sent.
 func TestItemsThatReachedNoEngineAreNotSuspected(t *testing.T) {
--- a/internal/rollout/batchrun/scoring.go
+++ b/internal/rollout/batchrun/scoring.go
@@ -8,9 +8,12 @@
 	"net/http"
 	"time"
 
+	"github.com/nutmegway/nutmegway/internal/backend/crashdetect"
+	"github.com/nutmegway/nutmegway/internal/backend/inventory"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
 	"github.com/nutmegway/nutmegway/internal/request/forward"
+	"github.com/nutmegway/nutmegway/internal/request/poison"
 	"github.com/nutmegway/nutmegway/internal/rollout/batch"
 	"github.com/nutmegway/nutmegway/internal/rollout/reward"
 )
@@ -22,18 +25,22 @@
 type pendingScore struct {
 	// cancel ends the attempts of the reward call.
 	cancel context.CancelFunc
-	ctx    context.Context //nolint:containedctx // It ends the attempts of the call.
-	item   *itemState
-	run    *batchRun
+	// content is the fingerprint of the reward request.
+	content uint64
+	ctx     context.Context //nolint:containedctx // It ends the attempts of the call.
+	item    *itemState
+	run     *batchRun
 }
 
 // queueReward queues the reward call of an item whose text is complete. The caller
 // holds the runner's mutex.
 func (br *batchRun) queueReward(s *itemState) {
 	ctx, cancel := context.WithCancel(br.ctx)
+	request := s.item.Reward
+	content := poison.RequestFingerprint(http.MethodPost, request.Host, request.Target, request.Body)
 	s.rewardCall = &reward.Call[*pendingScore]{
 		CompletedAt: time.Now(), Unfinished: func() int { return br.unfinishedInGroup[s.item.Group] },
-		Data: &pendingScore{cancel: cancel, ctx: ctx, item: s, run: br},
+		Data: &pendingScore{cancel: cancel, content: content, ctx: ctx, item: s, run: br},
 	}
 	br.runner.rewards.Add(s.rewardCall)
 }
@@ -80,6 +87,9 @@
 		return
 	}
 	target := func(pending *pendingScore) (reward.Target, bool) {
+		if r.Quarantine != nil && r.Quarantine.Refuses(pending.content) {
+			return reward.Target{}, false
+		}
 		request := pending.item.item.Reward
 		route, ok := c.Match(request.Host, request.Target)
 		if !ok {
@@ -124,9 +134,14 @@
 	began := time.Now()
 	answer := reward.Answer{Err: errPanicked, Ran: kind.RanUnknown}
 	defer func() { r.onRewardEnded(start, answer, time.Since(began)) }()
+	if err := r.admitReward(ctx, start); err != nil {
+		answer = reward.Answer{Err: err, Ran: kind.RanNo}
+		return
+	}
 	outcome := r.Rewards.Send(ctx, start.Server, forward.Request{
 		Body: request.Body, Header: http.Header{}, Host: request.Host, ID: request.ID, Method: http.MethodPost, Target: request.Target,
 	}, deadline, start.Repeat)
+	r.reportReward(call, start.Server.Server, outcome, ctx.Err() != nil)
 	if ctx.Err() != nil && call.ctx.Err() == nil {
 		r.Inventory.RecordRequestFailure(start.Server.ID)
 	}
@@ -136,6 +151,40 @@
 	}
 }
 
+// admitReward returns an error if an attempt of a reward call must not be sent now, because the call
+// is suspected of crashing servers.
+func (r *Runner) admitReward(ctx context.Context, start reward.Attempt[*pendingScore]) error {
+	if r.Quarantine == nil {
+		return nil
+	}
+	admission, err := r.Quarantine.Admit(ctx, start.Call.Data.content)
+	if err != nil || !admission.Sequential {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if start.Call.InFlight() > 1 {
+		return kind.New(kind.DoubtfulContent, "another attempt of the reward call is at a server")
+	}
+	return nil
+}
+
+// reportReward reports to the quarantine that a server has answered a reward call, or to the crash
+// detector that it has not. late is set if the time limit of the attempt has passed.
+func (r *Runner) reportReward(call *pendingScore, server inventory.Server, outcome forward.Outcome, late bool) {
+	switch {
+	case outcome.Err == nil && outcome.Ran != kind.RanNo:
+		if r.Quarantine != nil {
+			r.Quarantine.RecordResponse(call.content)
+		}
+	case r.CrashDetector == nil, call.ctx.Err() != nil, outcome.Ran == kind.RanNo:
+	default:
+		r.CrashDetector.Submit(crashdetect.Incident{
+			Broken: !late, Content: call.content, RequestID: call.item.item.Reward.ID, Server: server,
+		})
+	}
+}
+
 var errPanicked = errors.New("attempt of the reward call panicked")
 
 // onRewardEnded handles the end of a reward attempt.
--- a/internal/rollout/reward/reward.go
+++ b/internal/rollout/reward/reward.go
@@ -196,6 +196,9 @@
 	return attempts
 }
 
+// InFlight returns the number of attempts of the call that are in flight.
+func (c *Call[T]) InFlight() int { return len(c.inFlight) }
+
 // keepsFailing returns 1 for a call that several attempts in a row have left unanswered, else 0.
 func (c *Call[T]) keepsFailing() int {
 	if c.unanswered >= failingAttempts {
