--- a/internal/backend/plain/target_test.go
+++ b/internal/backend/plain/target_test.go
@@ -50,7 +50,7 @@
 			is := is.New(t)
 			request := newBooking()
 			request.Target = target
-			_, err := (&plain.Client{}).Do(t.Context(), "127.0.0.1:1", request) //nolint:bodyclose // There is no answer.
+			_, err := (&plain.Client{}).Do(t.Context(), "127.0.0.1:1", request)
 			is.True(kind.Is(err, kind.BadRequest))
 			is.Equal(kind.Of(err).Ran, kind.RanNo)
 		})
