Count only runs that an engine turned down against an item

And an engine that answers without an event got the item again as fast as it answers, since such a run counted as neither success nor failure.

The change: only refusals and failures count as runs without an event; an answer without an event is a failure.

--- a/internal/rollout/batchrun/blame.go
+++ b/internal/rollout/batchrun/blame.go
@@ -62,9 +62,6 @@
 // engine has answered the item. The caller holds the runner's mutex.
 func (br *batchRun) recordBlame(s *itemState, engine inventory.Candidate, r run) {
 	inv, now := br.runner.Inventory, time.Now()
-	if !r.responded {
-		s.eventless++
-	}
 	mayBlame := br.mayBlameEngine(s, engine)
 	switch r.outcome {
 	case generation.OutcomeUnreachable:
@@ -74,6 +71,7 @@
 			inv.BackOff(engine.ID, kind.Of(r.err).RetryAfter)
 			return
 		}
+		s.eventless++
 		s.refused++
 		br.recordTurnedDown(s, engine.ID)
 		br.backoff.Refused(engine.ID, r.began, now)
@@ -84,6 +82,9 @@
 		if errors.Is(r.err, errSlow) || errors.Is(r.err, errStaleVersion) {
 			return
 		}
+		if !r.responded {
+			s.eventless++
+		}
 		if r.responded && !r.isItemFault() {
 			inv.RecordFailure(engine.ID)
 			return
--- a/internal/rollout/batchrun/isolation_test.go
+++ b/internal/rollout/batchrun/isolation_test.go
@@ -208,3 +208,18 @@
 		})
 	}
 }
+
+// TestEmptyAnswersAreNotRepeatedAtOnce guards against an engine that answers without an event and
+// gets the item again as fast as it answers.
+func TestEmptyAnswersAreNotRepeatedAtOnce(t *testing.T) {
+	is := is.New(t)
+	engine := newEngine(t)
+	engine.handle = func(w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Set("Content-Type", "text/event-stream")
+		return true
+	}
+	h := newHost(t, "a", &kvmemory.Store{}, engine)
+	is.NoErr(h.service.Submit(t.Context(), sampleBatch(1)))
+	time.Sleep(time.Second)
+	is.True(len(engine.requests()) <= 3) // at once, after 0.5 s, and after a further second
+}
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -32,7 +32,10 @@
 	fasterCheckInterval = 250 * time.Millisecond
 )
 
-var errSlow = errors.New("engine is slow and a faster one has a free slot")
+var (
+	errNoEvent = errors.New("the answer has no event")
+	errSlow    = errors.New("engine is slow and a faster one has a free slot")
+)
 
 // itemState is the state of one item of a batch.
 type itemState struct {
@@ -349,6 +352,9 @@
 		s.reset()
 		outcome = generation.OutcomeStopped
 	}
+	if outcome == generation.OutcomeCompleted && len(s.events) == 0 {
+		outcome, err = generation.OutcomeBroken, errNoEvent
+	}
 	br.recordBlame(s, engine, run{began: began, err: err, outcome: outcome, responded: responded})
 	br.onRunEnded(s, engine, start.route, outcome, err)
 }
@@ -453,7 +459,7 @@
 ) {
 	switch outcome {
 	case generation.OutcomeCompleted:
-		if len(s.events) == 0 || route.SingleVersion && len(s.versions) > 1 {
+		if route.SingleVersion && len(s.versions) > 1 {
 			s.reset()
 			return
 		}
