--- a/internal/backend/crashdetect/crashdetect_test.go
+++ b/internal/backend/crashdetect/crashdetect_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -118,9 +119,9 @@
 		is := is.New(t)
 		servers := &inventory.Inventory{}
 		servers.Set(server)
-		ended := 0
+		var ended atomic.Int32
 		detector := &crashdetect.Detector{
-			Logger: slog.New(slog.DiscardHandler), OnEnded: func(crashdetect.Incident) { ended++ },
+			Logger: slog.New(slog.DiscardHandler), OnEnded: func(crashdetect.Incident) { ended.Add(1) },
 			Prober: &fakeProber{results: []probe.Result{probe.NotListening}}, Servers: servers,
 		}
 		ctx, cancel := context.WithCancel(t.Context())
@@ -131,7 +132,7 @@
 		}
 		detector.Submit(crashdetect.Incident{Broken: true, Content: 1000, Server: server})
 		wait.For(ctx, time.Second)
-		is.Equal(ended, 1)
+		is.Equal(ended.Load(), int32(1))
 		cancel()
 		is.NoErr(group.Wait())
 	})
