Let items that loading engines refuse keep their place

What callers saw: nothing broke.

Suspected cause: an engine that loads weights refuses new items, the longest of a step first, and after three refusals an item started after all others of its batch, so that the longest started last.

The change: eight refusals in a row, which is more than a load takes. Failures count as before.

--- a/internal/rollout/batchrun/blame.go
+++ b/internal/rollout/batchrun/blame.go
@@ -22,9 +22,12 @@
 	maxUnprovenShare = 1.0 / 3
 )
 
-// keepsFailing reports whether the last runs of the item ended without an event, not counting
-// those that engines refused.
-func (s *itemState) keepsFailing() bool { return s.eventless-s.refused >= failingRuns }
+// failedRuns returns the number of runs without an event since the last event, not counting those
+// that engines refused.
+func (s *itemState) failedRuns() int { return s.eventless - s.refused }
+
+// keepsFailing reports whether the last runs of the item failed.
+func (s *itemState) keepsFailing() bool { return s.failedRuns() >= failingRuns }
 
 // run is a run of an item that has ended.
 type run struct {
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -26,6 +26,10 @@
 	// failingRuns is the number of runs in a row without an event after which an item starts
 	// after others.
 	failingRuns = 3
+	// refusedRuns is the number of refusals in a row after which an item starts after others of
+	// its batch. An engine that loads weights refuses the same item for a second or two, and an
+	// item that starts late for it delays its group.
+	refusedRuns = 8
 	// maxMoves bounds how often one item is moved away from a slow engine.
 	maxMoves = 3
 	// fasterCheckInterval is the minimum time between two searches for a faster engine.
@@ -195,16 +199,16 @@
 	service string
 }
 
-// startable returns the items that may start in a placement, in their order. Items with several
-// runs without an event come last, and as long as no engine has answered any item of the batch,
-// all that have run. The caller holds the runner's mutex.
+// startable returns the items that may start in a placement, in their order. Items that failed
+// several times or were refused for long come last, and as long as no engine has answered any item
+// of the batch, all that have run. The caller holds the runner's mutex.
 func (br *batchRun) startable(p placement) []*itemState {
 	var items, last []*itemState
 	for _, i := range br.startOrder {
 		s := br.items[i]
 		switch {
 		case s.done || s.running || s.textComplete || s.unsendable || s.keepsFailing() != p.failing:
-		case s.refused >= failingRuns || s.eventless-s.refused >= failingRuns-1 || !br.answered && s.eventless > 0:
+		case s.refused >= refusedRuns, s.failedRuns() >= failingRuns-1, !br.answered && s.eventless > 0:
 			last = append(last, s)
 		default:
 			items = append(items, s)
