--- a/internal/backend/crashdetect/crashdetect.go
+++ b/internal/backend/crashdetect/crashdetect.go
@@ -135,7 +135,8 @@
 }
 
 // Submit opens an incident and never blocks. It drops the incident if maxIncidents are open, if
-// the request timed out and maxSilent such incidents are open, or if one with the same instanceKey is open or was reported within reportMemory.
+// the request timed out and maxSilent such incidents are open, or if one with the same
+// instanceKey is open or was reported within reportMemory.
 func (d *Detector) Submit(incident Incident) {
 	d.init()
 	d.mu.Lock()
--- a/internal/backend/plain/client.go
+++ b/internal/backend/plain/client.go
@@ -15,7 +15,6 @@
 	"strings"
 	"sync"
 	"time"
-	"unicode"
 
 	"github.com/zeebo/errs"
 	"go.opentelemetry.io/otel"
@@ -136,9 +135,10 @@
 }
 
 // Do sends the request to the server at address, an IP address and port, and returns its
-// answer, whose status is one from 200 to 599. The caller must close the answer's body. Closing it before it is read to its end
-// closes the connection too. Each error has a kind and says whether the request may have
-// run. It says RanNo only if no byte of the request was written to a connection.
+// answer, whose status is one from 200 to 599. The caller must close the answer's body. Closing
+// it before it is read to its end closes the connection too. Each error has a kind and says
+// whether the request may have run. It says RanNo only if no byte of the request was written to a
+// connection.
 func (c *Client) Do(ctx context.Context, address string, request Request) (*http.Response, error) {
 	c.once.Do(c.setUp)
 	ctx, span := otel.Tracer("nutmegway/plain").Start(ctx, "plain "+request.Method,
@@ -287,7 +287,7 @@
 	if _, err := url.ParseRequestURI(target); err != nil {
 		return classError.New("path: %w", err)
 	}
-	if strings.ContainsFunc(target, func(r rune) bool { return r <= ' ' || r == unicode.MaxASCII }) {
+	if strings.ContainsFunc(target, func(r rune) bool { return r <= ' ' || r == '\x7f' }) {
 		return classError.New("path %q has a space or a control character", target)
 	}
 	for name, values := range header {
@@ -301,15 +301,14 @@
 	return nil
 }
 
-// setTarget sets what is sent as the path and the query. A parsed path would be escaped anew, and a
-// number sign in it would end it.
+// setTarget sets the path and the query that the HTTP library writes. It escapes a parsed path
+// anew and leaves out what follows a number sign, but writes an opaque one as it is.
 func setTarget(u *url.URL, target string) {
 	if !strings.HasPrefix(target, "//") {
 		u.Opaque = target
 		return
 	}
-	// Opaque is sent with the scheme before it if it begins with two slashes. One slash and an
-	// opaque rest can't be told apart from it, so such a path is sent as it is parsed.
+	// The library writes the scheme before an opaque part that begins with two slashes.
 	path, query, hasQuery := strings.Cut(target, "?")
 	u.Path, u.RawPath = path, path
 	if unescaped, err := url.PathUnescape(path); err == nil {
--- a/internal/rollout/batchrun/blame.go
+++ b/internal/rollout/batchrun/blame.go
@@ -38,7 +38,8 @@
 	responded bool
 }
 
-// isItemFault reports whether the content of the text ended the run.
+// isItemFault reports whether the run ended because of its text, which may be the same on every
+// engine.
 func (r run) isItemFault() bool {
 	return errors.Is(r.err, generation.ErrStreamTooLong) || errors.Is(r.err, generation.ErrOutOfOrder)
 }
@@ -50,6 +51,7 @@
 	return hasOther(s.turnedDownBy, engine) || !br.answered && hasOther(br.turnedDownBy, engine)
 }
 
+// hasOther reports whether engines has one beside the given one.
 func hasOther(engines map[string]bool, engine string) bool {
 	return len(engines) > 1 || len(engines) == 1 && !engines[engine]
 }
--- a/internal/rollout/batchrun/run.go
+++ b/internal/rollout/batchrun/run.go
@@ -53,8 +53,8 @@
 	done bool
 	// events holds the data of the events received so far.
 	events []string
-	// eventless counts the runs without an event since the last event. Of these, engines
-	// refused refused.
+	// eventless counts the refused and failed runs since the last event, and refused the
+	// refused ones among them.
 	eventless, refused int
 	// turnedDownBy holds the engines that have refused the item or failed on it since its last
 	// event, and failedOn those that failed.
