Try refused reward calls later than the poison that they met

All refusals end five seconds later, so the sound calls were tried in the same moment as the poison, at servers that ended again (record6-6 12 ms after the call came), which refuses them for ten minutes.

The change: a call that was refused is tried one to three seconds after its refusal has ended, by chance. By then the poison has ended its one server, and the call goes to another one.

Single requests and items have the same coincidence; a caller comes again with a request, and an item has other engines, so it is left there.

--- a/internal/rollout/batchrun/scoring.go
+++ b/internal/rollout/batchrun/scoring.go
@@ -18,8 +18,14 @@
 	"github.com/nutmegway/nutmegway/internal/rollout/reward"
 )
 
-// defaultRewardTimeout bounds one attempt of a reward call whose route has no timeout.
-const defaultRewardTimeout = 1500 * time.Millisecond
+const (
+	// defaultRewardTimeout bounds one attempt of a reward call whose route has no timeout.
+	defaultRewardTimeout = 1500 * time.Millisecond
+	// A reward call is tried again minTrialDelay and a random part of trialDelaySpread after its
+	// content is no longer refused. A crash is noticed within the shorter time.
+	minTrialDelay    = time.Second
+	trialDelaySpread = 2 * time.Second
+)
 
 // pendingScore is an item whose text is complete and has no score yet.
 type pendingScore struct {
@@ -29,7 +35,9 @@
 	content uint64
 	ctx     context.Context //nolint:containedctx // It ends the attempts of the call.
 	item    *itemState
-	run     *batchRun
+	// resumeAt is the earliest time for the next attempt after the content was refused.
+	resumeAt time.Time
+	run      *batchRun
 }
 
 // queueReward queues the reward call of an item whose text is complete. The caller
@@ -87,7 +95,7 @@
 		return
 	}
 	target := func(pending *pendingScore) (reward.Target, bool) {
-		if r.Quarantine != nil && r.Quarantine.Refuses(pending.content) {
+		if r.isHeldBack(pending, now) {
 			return reward.Target{}, false
 		}
 		request := pending.item.item.Reward
@@ -151,6 +159,17 @@
 	}
 }
 
+// isHeldBack reports whether a reward call waits because its content is refused, or was until a
+// moment ago. The content that did crash the servers is tried again as soon as it is admitted, and
+// a sound call must not be at the same server then.
+func (r *Runner) isHeldBack(pending *pendingScore, now time.Time) bool {
+	if r.Quarantine != nil && r.Quarantine.Refuses(pending.content) {
+		pending.resumeAt = now.Add(minTrialDelay + rand.N(trialDelaySpread))
+		return true
+	}
+	return now.Before(pending.resumeAt)
+}
+
 // admitReward returns an error if an attempt of a reward call must not be sent now, because the call
 // is suspected of crashing servers.
 func (r *Runner) admitReward(ctx context.Context, start reward.Attempt[*pendingScore]) error {
