--- a/internal/backend/generation/endless_test.go
+++ b/internal/backend/generation/endless_test.go
@@ -46,7 +46,11 @@
 				}
 			}))
 			defer server.Close()
-			client := &generation.Client{Dialect: testDialect, Logger: slog.New(slog.DiscardHandler), Plain: &plain.Client{}}
+			client := &generation.Client{
+				Dialect: testDialect, Logger: slog.New(slog.DiscardHandler),
+				// Beside other load, it takes long to open so many connections.
+				Plain: &plain.Client{ConnectTimeout: time.Minute},
+			}
 			runtime.GC()
 			var group errgroup.Group
 			done := make(chan struct{})
