Take no answer whose connection was reset for a complete one

The cause: the kernel reports the error of a socket once, to whichever call comes first. A write of the upload met the reset, and the read that followed returned 0 bytes, as at the end of a stream. The body of an answer without length ends there, so the HTTP library reported io.EOF, unless it had closed the connection before because of the failed write. That is the race.

The change: the connection remembers the first error of a write. At the end of the stream, the read waits for a write in progress, which it ends by a deadline, and returns that error instead of io.EOF. EPIPE is the exception: the reset came after the end of the stream, and the answer is whole.

--- a/internal/backend/plain/client.go
+++ b/internal/backend/plain/client.go
@@ -24,6 +24,7 @@
 	"golang.org/x/net/http/httpguts"
 
 	"github.com/nutmegway/nutmegway/internal/backend/reach"
+	"github.com/nutmegway/nutmegway/internal/base/httpconn"
 	"github.com/nutmegway/nutmegway/internal/base/httperror"
 	"github.com/nutmegway/nutmegway/internal/base/httpstatus"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
@@ -264,7 +265,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return c.conns.add(conn, address, c.Reach), nil
+		return c.conns.add(&httpconn.Conn{Conn: conn}, address, c.Reach), nil
 	}
 	transport := func() *http.Transport {
 		return &http.Transport{
--- a/internal/backend/plain/conn.go
+++ b/internal/backend/plain/conn.go
@@ -12,6 +12,7 @@
 	"syscall"
 
 	"github.com/nutmegway/nutmegway/internal/backend/reach"
+	"github.com/nutmegway/nutmegway/internal/base/httpconn"
 )
 
 // connTracker holds the open connections to each address.
@@ -20,7 +21,7 @@
 	open map[string]map[*trackedConn]struct{}
 }
 
-func (c *connTracker) add(conn net.Conn, address string, monitor *reach.Monitor) *trackedConn {
+func (c *connTracker) add(conn *httpconn.Conn, address string, monitor *reach.Monitor) *trackedConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.open == nil {
@@ -64,7 +65,7 @@
 // trackedConn is a connection that counts the bytes written to it and the requests that used
 // it.
 type trackedConn struct {
-	net.Conn
+	*httpconn.Conn
 
 	address string
 	reach   *reach.Monitor
@@ -89,7 +90,7 @@
 // acknowledged are discarded; otherwise the kernel still sends them.
 func (c *trackedConn) Close() error {
 	c.tracker.remove(c)
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.resetOnClose.Load() {
+	if tcp, ok := c.NetConn().(*net.TCPConn); ok && c.resetOnClose.Load() {
 		_ = tcp.SetLinger(0) // An error means that the connection is closed already.
 	}
 	return c.Conn.Close()
