Read the answers of servers that don't read the upload to its end

What callers saw: an error (outcome unknown, or another attempt) although the server had sent a whole answer to an upload that it didn't read to its end.

The cause: such a server resets the connection when it closes it. The failed write made the HTTP library close the connection, with the answer unread in the socket's buffer.

The change: once the server has ended the connection, the rest of the request is discarded, and the reader alone tells how the exchange ended: with the whole answer, or with the error of the write. A request of which no byte was written fails as before, so that it counts as not run.

Evidence: TestSoundAnswerToUnreadUploadIsComplete lets the reader begin after the failed write.

--- a/internal/backend/plain/conn.go
+++ b/internal/backend/plain/conn.go
@@ -209,6 +209,7 @@
 	}
 	if conn, ok := info.Conn.(*trackedConn); ok {
 		s.use = conn.acquire()
+		conn.BeginRequest()
 		conn.resetOnClose.Store(s.resetOnClose)
 	}
 	if !s.sent && s.beforeSend != nil {
--- a/internal/backend/plain/reset_test.go
+++ b/internal/backend/plain/reset_test.go
@@ -52,3 +52,28 @@
 		})
 	}
 }
+
+// TestSoundAnswerToUnreadUploadIsComplete guards against sound answers that are lost because their
+// server doesn't read the upload to its end, so that a write fails before the answer is read.
+func TestSoundAnswerToUnreadUploadIsComplete(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		end    func(*net.TCPConn)
+	}{
+		"no length":      {"HTTP/1.1 200 OK\r\n\r\ndone", httpconntest.EndStream},
+		"length":         {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", httpconntest.Leave},
+		"length, closes": {"HTTP/1.1 413 Content Too Large\r\nConnection: close\r\nContent-Length: 4\r\n\r\ndone", httpconntest.Leave},
+		"chunked":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n", httpconntest.Leave},
+	} {
+		for orderName, order := range map[string]httpconntest.Order{
+			"write fails first": httpconntest.WriteFailsFirst, "write fails before the head is read": httpconntest.ClosesFirst,
+		} {
+			t.Run(name+", "+orderName, func(t *testing.T) {
+				is := is.New(t)
+				body, err := upload(t, c.answer, order, c.end)
+				is.NoErr(err)
+				is.Equal(body, "done")
+			})
+		}
+	}
+}
--- a/internal/base/httpconn/httpconn.go
+++ b/internal/base/httpconn/httpconn.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,8 +25,14 @@
 type Conn struct {
 	net.Conn
 
-	// writeMu is held during a write. It guards the field below.
+	closed atomic.Bool
+	// writeMu is held during a write. It guards the fields below.
 	writeMu sync.Mutex
+	// discards is set if the rest of the current request isn't written, because the server has
+	// ended the connection.
+	discards bool
+	// sent is set once a byte of the current request has been written.
+	sent bool
 	// writeErr is the first error of a write that tells of the connection's end.
 	writeErr error
 }
@@ -33,6 +40,19 @@
 // NetConn returns the connection that c wraps.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
+// BeginRequest is called before each request is written.
+func (c *Conn) BeginRequest() {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	c.discards, c.sent = false, false
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
+}
+
 // Read reads from the connection. It returns io.EOF only if the server has ended its stream. After
 // a reset it returns an error, even if a write has met the reset first.
 func (c *Conn) Read(p []byte) (int, error) {
@@ -58,13 +78,33 @@
 	return classError.New("the connection broke while the request was sent: %w", c.writeErr)
 }
 
-// Write writes to the connection.
+// Write writes to the connection. If the server ends the connection before it has read all of a
+// request, the rest is discarded and Write returns no error, since net/http would close the
+// connection although an answer may have arrived. The next read tells how the connection ended.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
+	if c.discards {
+		return c.discard(p)
+	}
 	n, err := c.Conn.Write(p)
-	if err != nil && c.writeErr == nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+	c.sent = c.sent || n > 0
+	if err == nil {
+		return n, nil
+	}
+	if c.writeErr == nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
 		c.writeErr = err
 	}
+	if c.sent && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)) {
+		c.discards = true
+		return c.discard(p)
+	}
 	return n, err
 }
+
+func (c *Conn) discard(p []byte) (int, error) {
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return len(p), nil
+}
