--- a/internal/base/httpconn/httpconntest/httpconntest.go
+++ b/internal/base/httpconn/httpconntest/httpconntest.go
@@ -39,7 +39,8 @@
 func Leave(*net.TCPConn) {}
 
 // ServeEarly starts a server that sends the answer as soon as it has read the head of a request,
-// reads on for 1 MB and calls end before it closes the connection. It returns the server's address.
+// reads up to 1 MB of the body and calls end before it closes the connection. It returns the
+// server's address.
 func ServeEarly(t *testing.T, answer string, end func(*net.TCPConn)) string {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
@@ -56,11 +57,12 @@
 			group.Go(func() error {
 				defer func() { _ = conn.Close() }()
 				reader := bufio.NewReader(conn)
-				if _, err := http.ReadRequest(reader); err != nil {
+				request, err := http.ReadRequest(reader)
+				if err != nil {
 					return nil
 				}
 				_, _ = io.WriteString(conn, answer)
-				_, _ = io.CopyN(io.Discard, reader, readOnBytes)
+				_, _ = io.CopyN(io.Discard, request.Body, readOnBytes)
 				if tcp, ok := conn.(*net.TCPConn); ok {
 					awaitAcknowledged(tcp)
 					end(tcp)
