Believe answers of engines and the weight store only once they are whole

What could be seen, on the own interface: an order, a publication or a status counted as answered, or as refused without having run, although the body of the answer was cut.

The cause: the decoder stops at the end of the JSON value, so that what is missing after it wasn't noticed; a publication's answer wasn't read at all, nor were the store's failures.

The change: such answers are read to their end before their status or their text counts. A cut failure of an engine gives an error that says that the request may have run. The host list is read the same way.

--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -19,6 +19,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/nutmegway/nutmegway/internal/base/httpbody"
 	"github.com/nutmegway/nutmegway/internal/base/httperror"
 	"github.com/nutmegway/nutmegway/internal/base/httpstatus"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
@@ -61,7 +62,7 @@
 		return nil, err
 	}
 	defer response.Body.Close() //nolint:errcheck // Nothing is written, so the error doesn't matter.
-	cache, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	cache, err := httpbody.ReadAll(response, maxResponseBytes)
 	return cache, kind.Wrap(kind.BackendFailed, err)
 }
 
@@ -114,12 +115,11 @@
 		return err
 	}
 	defer response.Body.Close() //nolint:errcheck // Nothing is written, so the error doesn't matter.
-	if result == nil {
-		_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes))
+	data, err := httpbody.ReadAll(response, maxResponseBytes)
+	if err != nil || result == nil {
 		return kind.Wrap(kind.OutcomeUnknown, err)
 	}
-	err = json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(result)
-	return kind.Wrap(kind.BackendFailed, err)
+	return kind.Wrap(kind.BackendFailed, json.Unmarshal(data, result))
 }
 
 // send sends a request and returns the response if its status is below 300. Its error
--- a/internal/backend/engine/client_test.go
+++ b/internal/backend/engine/client_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/nutmegway/nutmegway/internal/backend/engine"
+	"github.com/nutmegway/nutmegway/internal/base/httpconn/httpconntest"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 )
 
@@ -33,3 +34,29 @@
 		})
 	}
 }
+
+// TestBrokenAnswerIsNoAnswer guards against answers of an engine that are believed although they are
+// cut.
+func TestBrokenAnswerIsNoAnswer(t *testing.T) {
+	const refusal = `{"error":{"kind":"overloaded","message":"full","ran":"no"}}`
+	for name, answer := range map[string]string{
+		"cut":         "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
+		"cut refusal": "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 200\r\n\r\n" + refusal,
+		"cut chunks":  "HTTP/1.1 429 Too Many Requests\r\nTransfer-Encoding: chunked\r\n\r\n3b\r\n" + refusal + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			client := engine.Client{Address: httpconntest.ServeEarly(t, answer, httpconntest.EndStream)}
+			is.True(kind.Is(client.Order(t.Context(), engine.Order{}), kind.OutcomeUnknown))
+			_, err := client.Status(t.Context())
+			is.True(kind.Is(err, kind.OutcomeUnknown))
+			stream, err := client.Generate(t.Context(), engine.Request{ID: "a"})
+			if err == nil {
+				_, err = stream.Next()
+				_ = stream.Close()
+			}
+			is.True(err != nil)
+			is.True(kind.Of(err).Ran != kind.RanNo)
+		})
+	}
+}
--- a/internal/base/httperror/httperror.go
+++ b/internal/base/httperror/httperror.go
@@ -4,16 +4,16 @@
 
 import (
 	"encoding/json"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/nutmegway/nutmegway/internal/base/httpbody"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 )
 
-// maxBodyBytes bounds how much of an error response's body is read.
+// maxBodyBytes bounds the body of an error response.
 const maxBodyBytes = 64 << 10
 
 // Body is the JSON body of an error response.
@@ -55,11 +55,15 @@
 }
 
 // Read returns the error in the body of an error response. If the body doesn't have the
-// form that Write uses, the error is of kind BackendFailed.
+// form that Write uses, the error is of kind BackendFailed. If it is cut, it says nothing, and the
+// error is of kind OutcomeUnknown.
 func Read(response *http.Response) *kind.Error {
+	data, err := httpbody.ReadAll(response, maxBodyBytes)
+	if err != nil {
+		return kind.New(kind.OutcomeUnknown, "%v", err)
+	}
 	var body Body
-	err := json.NewDecoder(io.LimitReader(response.Body, maxBodyBytes)).Decode(&body)
-	if err != nil || body.Error.Kind == "" {
+	if err := json.Unmarshal(data, &body); err != nil || body.Error.Kind == "" {
 		return kind.New(kind.BackendFailed, "status %d without an error in the response body", response.StatusCode)
 	}
 	return body.Err()
--- a/internal/external/hostlist/client.go
+++ b/internal/external/hostlist/client.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/zeebo/errs"
 
+	"github.com/nutmegway/nutmegway/internal/base/httpbody"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 )
 
@@ -68,7 +68,11 @@
 	if response.StatusCode != http.StatusOK {
 		return List{}, errs.New("GET %s: status %d, want %d", url, response.StatusCode, http.StatusOK)
 	}
+	data, err := httpbody.ReadAll(response, maxListBytes)
+	if err != nil {
+		return List{}, err
+	}
 	var list List
-	err = json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&list)
+	err = json.Unmarshal(data, &list)
 	return list, err
 }
--- a/internal/external/weightstore/client.go
+++ b/internal/external/weightstore/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -12,6 +11,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/nutmegway/nutmegway/internal/base/httpbody"
 	"github.com/nutmegway/nutmegway/internal/base/httpstatus"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 )
@@ -83,11 +83,14 @@
 		return kind.Wrap(kind.Unavailable, classError.Wrap(err))
 	}
 	defer func() { _ = response.Body.Close() }()
+	data, err := httpbody.ReadAll(response, maxReplyBytes)
+	if err != nil {
+		return kind.Wrap(kind.Unavailable, classError.Wrap(err))
+	}
 	if err := statusError(response); err != nil || reply == nil {
 		return err
 	}
-	err = json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(reply)
-	return kind.Wrap(kind.Unavailable, classError.Wrap(err))
+	return kind.Wrap(kind.Unavailable, classError.Wrap(json.Unmarshal(data, reply)))
 }
 
 // statusError converts the HTTP status of a response to an error, or to nil if the
--- a/internal/external/weightstore/client_test.go
+++ b/internal/external/weightstore/client_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/nutmegway/nutmegway/internal/base/httpconn/httpconntest"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/external/weightstore"
 )
@@ -31,3 +32,21 @@
 		})
 	}
 }
+
+// TestBrokenAnswerPublishesNothing guards against answers of the store that are believed although
+// they are cut.
+func TestBrokenAnswerPublishesNothing(t *testing.T) {
+	for name, answer := range map[string]string{
+		"cut":          "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n[]",
+		"cut conflict": "HTTP/1.1 409 Conflict\r\nContent-Length: 9\r\n\r\n{}",
+		"cut chunks":   "HTTP/1.1 404 Not Found\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n[]\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			client := weightstore.Client{BaseURL: "http://" + httpconntest.ServeEarly(t, answer, httpconntest.EndStream)}
+			is.True(kind.Is(client.Publish(t.Context(), weightstore.Version{Model: "m", Number: 2}), kind.Unavailable))
+			_, err := client.Versions(t.Context(), "m")
+			is.True(kind.Is(err, kind.Unavailable))
+		})
+	}
+}
