Judge the answers of engines, the weight store and the host list

What could be seen, on the own interface: an engine's or the weight store's answer was believed although a line of its head or trailers was no field, or although its connection was reset while the request was being sent.

The cause: these clients had connections of their own.

The change: they use the connections that judge answers. The weight store and the host list share httpconn.DefaultClient, which ignores the proxy settings of the environment, as the clients of backend servers do.

--- a/cmd/nutmegway/servecmd.go
+++ b/cmd/nutmegway/servecmd.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"log/slog"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -49,11 +48,11 @@
 	store := &etcd.Store{Endpoints: s.Platform.KeyValue}
 	defer func() { _ = store.Close() }()
 	n := &node.Node{
-		Hosts:    hostlist.Client{BaseURL: s.Platform.HostList, HTTP: http.DefaultClient},
+		Hosts:    hostlist.Client{BaseURL: s.Platform.HostList},
 		Logger:   logger,
 		Settings: s,
 		Store:    store,
-		Weights:  weightstore.Client{BaseURL: s.Platform.WeightStore, HTTP: http.DefaultClient},
+		Weights:  weightstore.Client{BaseURL: s.Platform.WeightStore},
 	}
 	stopSignals := onSignals(logger, n.Drain, cancel)
 	defer stopSignals()
--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -20,6 +20,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/nutmegway/nutmegway/internal/base/httpbody"
+	"github.com/nutmegway/nutmegway/internal/base/httpconn"
 	"github.com/nutmegway/nutmegway/internal/base/httperror"
 	"github.com/nutmegway/nutmegway/internal/base/httpstatus"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
@@ -37,7 +38,7 @@
 type Client struct {
 	// Address is the engine's IP address and port.
 	Address string
-	// HTTP is the shared HTTP client; nil means http.DefaultClient.
+	// HTTP is the shared HTTP client; nil means httpconn.DefaultClient.
 	HTTP *http.Client
 }
 
@@ -163,7 +164,7 @@
 
 func (c Client) client() *http.Client {
 	if c.HTTP == nil {
-		return http.DefaultClient
+		return httpconn.DefaultClient
 	}
 	return c.HTTP
 }
--- a/internal/base/httpconn/transport.go
+++ b/internal/base/httpconn/transport.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"time"
 )
 
 // Transport sends requests over connections of type [Conn]. Base is set before the first call, which
@@ -19,6 +20,14 @@
 
 var _ http.RoundTripper = (*Transport)(nil)
 
+// DefaultClient is the client of services of which each host calls only a few. It ignores the proxy
+// settings of the environment.
+var DefaultClient = &http.Client{Transport: &Transport{Base: &http.Transport{IdleConnTimeout: idleTimeout}}}
+
+// idleTimeout is how long DefaultClient keeps idle connections. That of http.DefaultTransport is
+// the same.
+const idleTimeout = 90 * time.Second
+
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	t.once.Do(t.setUp)
--- a/internal/entry/node/backends.go
+++ b/internal/entry/node/backends.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/nutmegway/nutmegway/internal/base/httpconn"
 	"github.com/nutmegway/nutmegway/internal/fleet/server"
 )
 
@@ -20,11 +21,11 @@
 func newBackendClient(dialer *server.Dialer) *http.Client {
 	return &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		Transport: &http.Transport{
+		Transport: &httpconn.Transport{Base: &http.Transport{
 			DialContext:         dialer.DialContext,
 			DisableCompression:  true,
 			IdleConnTimeout:     idleBackendTimeout,
 			MaxIdleConnsPerHost: maxIdleBackendConns,
-		},
+		}},
 	}
 }
--- a/internal/external/hostlist/client.go
+++ b/internal/external/hostlist/client.go
@@ -10,6 +10,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/nutmegway/nutmegway/internal/base/httpbody"
+	"github.com/nutmegway/nutmegway/internal/base/httpconn"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 )
 
@@ -28,7 +29,7 @@
 type Client struct {
 	// BaseURL is the address of the service, such as http://192.0.2.1:8080.
 	BaseURL string
-	// HTTP sends the requests; nil means http.DefaultClient.
+	// HTTP sends the requests; nil means httpconn.DefaultClient.
 	HTTP *http.Client
 	// Timeout bounds each read. Zero means DefaultTimeout.
 	Timeout time.Duration
@@ -58,7 +59,7 @@
 	}
 	client := c.HTTP
 	if client == nil {
-		client = http.DefaultClient
+		client = httpconn.DefaultClient
 	}
 	response, err := client.Do(request)
 	if err != nil {
--- a/internal/external/weightstore/client.go
+++ b/internal/external/weightstore/client.go
@@ -12,6 +12,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/nutmegway/nutmegway/internal/base/httpbody"
+	"github.com/nutmegway/nutmegway/internal/base/httpconn"
 	"github.com/nutmegway/nutmegway/internal/base/httpstatus"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 )
@@ -32,7 +33,7 @@
 type Client struct {
 	// BaseURL is the address of the store, such as http://192.0.2.1:8080.
 	BaseURL string
-	// HTTP sends the requests; nil means http.DefaultClient.
+	// HTTP sends the requests; nil means httpconn.DefaultClient.
 	HTTP *http.Client
 	// Timeout bounds each call. Zero means DefaultTimeout.
 	Timeout time.Duration
@@ -76,7 +77,7 @@
 	}
 	client := c.HTTP
 	if client == nil {
-		client = http.DefaultClient
+		client = httpconn.DefaultClient
 	}
 	response, err := client.Do(request)
 	if err != nil {
--- a/internal/external/weightstore/client_test.go
+++ b/internal/external/weightstore/client_test.go
@@ -34,12 +34,14 @@
 }
 
 // TestBrokenAnswerPublishesNothing guards against answers of the store that are believed although
-// they are cut.
+// they are cut or have a line that is no field.
 func TestBrokenAnswerPublishesNothing(t *testing.T) {
 	for name, answer := range map[string]string{
-		"cut":          "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n[]",
-		"cut conflict": "HTTP/1.1 409 Conflict\r\nContent-Length: 9\r\n\r\n{}",
-		"cut chunks":   "HTTP/1.1 404 Not Found\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n[]\r\n",
+		"cut":                    "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n[]",
+		"cut conflict":           "HTTP/1.1 409 Conflict\r\nContent-Length: 9\r\n\r\n{}",
+		"cut chunks":             "HTTP/1.1 404 Not Found\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n[]\r\n",
+		"blank before the colon": "HTTP/1.1 200 OK\r\nX-Odd : 1\r\nContent-Length: 2\r\n\r\n[]",
+		"blank in a trailer":     "HTTP/1.1 429 Too Many Requests\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n[]\r\n0\r\nX Odd: 1\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/lab/deployment/node.go
+++ b/internal/lab/deployment/node.go
@@ -6,7 +6,6 @@
 	"encoding/hex"
 	"log/slog"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -60,12 +59,12 @@
 	d.Hosts.Set(n.host())
 	store := &etcd.Store{Endpoints: []string{n.storeAddress()}}
 	running := &node.Node{
-		Hosts:     hostlist.Client{BaseURL: d.Hosts.URL(), HTTP: http.DefaultClient},
+		Hosts:     hostlist.Client{BaseURL: d.Hosts.URL()},
 		Listeners: listeners,
 		Logger:    d.Logger.With(slog.String("node", n.ID)),
 		Settings:  n.settings(),
 		Store:     store,
-		Weights:   weightstore.Client{BaseURL: d.Weights.URL(), HTTP: http.DefaultClient},
+		Weights:   weightstore.Client{BaseURL: d.Weights.URL()},
 	}
 	if d.NewBaselinePolicy != nil {
 		running.BaselinePolicy = d.NewBaselinePolicy()
