Believe refusals and failures of servers only once they are whole

What could be seen: a refusal whose body was cut counted as one, so that a request that must not be repeated was sent to another server; an item counted as failed, or as impossible (and was listed as dead) because of a 500 or 422 that was cut.

The cause: the head alone decided, and the body was closed unread.

The change: such an answer is read to its end first. If it is cut, the request may have run, and the run of an item is broken.

--- a/internal/backend/generation/generation.go
+++ b/internal/backend/generation/generation.go
@@ -19,6 +19,7 @@
 
 	"github.com/nutmegway/nutmegway/internal/backend/dialect"
 	"github.com/nutmegway/nutmegway/internal/backend/plain"
+	"github.com/nutmegway/nutmegway/internal/base/httpbody"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 )
 
@@ -34,6 +35,8 @@
 	// maxIdleBytes bounds the comments and empty lines from the end of one event to the
 	// end of the next.
 	maxIdleBytes = 32 << 10
+	// maxRejectionBytes bounds the body of an answer that isn't a stream.
+	maxRejectionBytes = 64 << 10
 	// A stream of up to n tokens may hold n times maxBytesPerToken bytes of data, plus
 	// extraTextBytes, since the average token of a short text may be longer.
 	maxBytesPerToken = 64
@@ -149,6 +152,9 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if outcome, err := c.rejectionOutcome(response); outcome != "" {
+		if _, cut := httpbody.ReadAll(response, maxRejectionBytes); cut != nil {
+			return c.failureOutcome(ctx, cut)
+		}
 		return outcome, err
 	}
 	if r.ResumeAfter != "" && !isEventStream(response) {
--- a/internal/backend/generation/generation_test.go
+++ b/internal/backend/generation/generation_test.go
@@ -80,6 +80,25 @@
 		}, generation.OutcomeBroken, 0},
 		"run failed":         {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, generation.OutcomeFailed, 0},
 		"item is impossible": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusUnprocessableEntity) }, generation.OutcomeImpossible, 0},
+		"cut refusal": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Not-Run", "1")
+			w.Header().Set("Content-Length", "9")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, generation.OutcomeBroken, 0},
+		"cut answer of another server": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "9")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		}, generation.OutcomeBroken, 0},
+		"cut failure": {func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusInternalServerError)
+			flush(w)
+			panic(http.ErrAbortHandler)
+		}, generation.OutcomeBroken, 0},
+		"cut answer that the item is impossible": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "9")
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			fmt.Fprint(w, "part")
+		}, generation.OutcomeBroken, 0},
 		"answer to another request": {func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("X-Request-Id", "i2")
 			fmt.Fprint(w, "id: 1\ndata: other\n\n")
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -23,6 +23,7 @@
 	"github.com/nutmegway/nutmegway/internal/backend/dialect"
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
 	"github.com/nutmegway/nutmegway/internal/backend/plain"
+	"github.com/nutmegway/nutmegway/internal/base/httpbody"
 	"github.com/nutmegway/nutmegway/internal/base/httpstatus"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
@@ -308,8 +309,8 @@
 }
 
 // send sends the request to one server and reads the answer's body up to the buffer size.
-// It does not read the body of an event stream or of an answer that says that the request
-// has not run. atMostOnce has the meaning of [plain.Request.AtMostOnce].
+// It does not read the body of an event stream. An answer that says that the request has not run
+// counts only if it is whole. atMostOnce has the meaning of [plain.Request.AtMostOnce].
 func (f *Forwarder) send(
 	ctx context.Context, candidate inventory.Candidate, request Request, deadline time.Time, atMostOnce bool,
 ) answer {
@@ -348,6 +349,11 @@
 	}
 	a := answer{server: candidate.Server, response: response, ran: kind.RanYes, sent: sent}
 	if response.Header.Get(f.Dialect.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
+		if _, err := httpbody.ReadAll(response, f.bufferSize()); err != nil {
+			_ = response.Body.Close()
+			f.Inventory.RecordRequestFailure(candidate.ID)
+			return answer{server: candidate.Server, err: err, ran: kind.RanUnknown, sent: sent}
+		}
 		a.ran = kind.RanNo
 		return a
 	}
--- a/internal/request/forward/truncated_test.go
+++ b/internal/request/forward/truncated_test.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegway/nutmegway/internal/backend/inventory"
+	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/fleet/config"
 )
 
@@ -129,3 +130,30 @@
 		})
 	}
 }
+
+// TestCutRefusalPromisesNothing guards against requests that count as not run, and so are sent to
+// another server or refused to their callers, because of the head of an answer whose body is cut.
+func TestCutRefusalPromisesNothing(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length":      "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 9\r\n\r\npart",
+		"chunked":     "HTTP/1.1 429 Too Many Requests\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		"misdirected": "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 9\r\n\r\n",
+		"stream":      "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Type: text/event-stream\r\nContent-Length: 9\r\n\r\npart",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sound := newServer(t, answerComplete)
+			f := newForwarder(sound)
+			f.Inventory.Set(inventory.Server{Address: newRawServer(t, func() string { return answer }), ID: "raw", Service: "s", Slots: 400, Zone: "z"})
+			route := config.Route{MaxAttempts: 2, Repeat: config.RepeatNever, Targets: []config.Target{{Service: "s", Weight: 1}}, Timeout: time.Minute}
+			err := f.Serve(t.Context(), httptest.NewRecorder(), request(), route)
+			is.True(kind.Is(err, kind.OutcomeUnknown))
+			is.Equal(sound.count(), 0)
+			f.Inventory.RecordAnswer("raw", 0) // so that it is asked first again
+			route.Repeat = config.RepeatIdempotent
+			w := httptest.NewRecorder()
+			is.NoErr(f.Serve(t.Context(), w, request(), route))
+			is.Equal(w.Body.String(), "complete")
+		})
+	}
+}
