Refuse heads with invalid fields from hosts of earlier versions

The cause: the head that comes over a link was checked for its status only.

The change: a head with a name or a value that is invalid breaks the link's call, as an odd status does, and the request may have run. The parts of answers that an old host takes for whole can't be told apart.

--- a/internal/request/forwardlink/client.go
+++ b/internal/request/forwardlink/client.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/nutmegway/nutmegway/internal/base/httpstatus"
 	"github.com/nutmegway/nutmegway/internal/base/kind"
 	"github.com/nutmegway/nutmegway/internal/fleet/peer"
@@ -207,12 +209,12 @@
 	if head == nil {
 		return nil, "", c.linkError(classError.New("the answer has no head"))
 	}
-	if !httpstatus.IsFinal(int(head.GetStatus())) {
-		// A host of an earlier version hands back whatever a server sends.
-		return nil, "", c.linkError(classError.New("server %q answered with status %03d, want one from 200 to 599", head.GetServer(), head.GetStatus()))
+	header := decodeHeader(head.GetHeaders())
+	if err := checkHead(int(head.GetStatus()), header); err != nil {
+		return nil, "", c.linkError(classError.New("server %q: %w", head.GetServer(), err))
 	}
 	response = &http.Response{
-		Body: &answerBody{call: c}, ContentLength: -1, Header: decodeHeader(head.GetHeaders()), StatusCode: int(head.GetStatus()),
+		Body: &answerBody{call: c}, ContentLength: -1, Header: header, StatusCode: int(head.GetStatus()),
 		// The end of the answer is marked on the link, however its server framed it.
 		TransferEncoding: []string{"chunked"},
 	}
@@ -222,6 +224,25 @@
 	return response, head.GetServer(), nil
 }
 
+// checkHead returns an error if a head can't be that of an answer. A host of an earlier version hands
+// back whatever the HTTP library takes.
+func checkHead(status int, header http.Header) error {
+	if !httpstatus.IsFinal(status) {
+		return classError.New("answer with status %03d, want one from 200 to 599", status)
+	}
+	for name, values := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return classError.New("answer with a field whose name is invalid")
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return classError.New("answer with a field whose value is invalid")
+			}
+		}
+	}
+	return nil
+}
+
 // maxAttemptsOnWire bounds the number of attempts in a message.
 const maxAttemptsOnWire = 1000
 
--- a/internal/request/forwardlink/forwardlink_test.go
+++ b/internal/request/forwardlink/forwardlink_test.go
@@ -134,6 +134,24 @@
 	}
 }
 
+// TestOddFieldOverTheLinkIsNoAnswer guards against a host of an earlier version that hands back an
+// answer in whose head a line was no field.
+func TestOddFieldOverTheLinkIsNoAnswer(t *testing.T) {
+	for _, name := range []string{"X-Odd ", "X Odd", "Transfer-Encoding ", " X-Odd", "X-\x01Odd", ""} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			entry, _, _ := start(t, "h1", &fakeHost{serve: func(_ context.Context, w http.ResponseWriter, _ forward.Request) error {
+				w.Header()[name] = []string{"1"}
+				_, err := io.WriteString(w, "odd")
+				return err
+			}})
+			_, err := forwardTo(t, newClient(t, entry))
+			is.True(kind.Is(err, kind.OutcomeUnknown))
+			is.Equal(kind.Of(err).Ran, kind.RanUnknown)
+		})
+	}
+}
+
 func TestRequestAndAnswerPassUnchanged(t *testing.T) {
 	is := is.New(t)
 	var got forward.Request
