Count no broken response of a plain server as its success, and log it

What could be seen, on the own interface: nothing told which server's response broke off while it was passed on, or why an attempt failed; and in outlier detection such a response was a success.

The cause: the caller's connection was closed without a line, and the result of a request was taken from its status alone.

The change: a line with the request's id, the service, the server and the cause for each failed attempt and for each response that isn't passed on in full. A response whose body breaks off before the caller leaves counts as failed. The error of a recorded response that is cut names the server and the cause.

--- a/internal/request/plainproxy/answer.go
+++ b/internal/request/plainproxy/answer.go
@@ -12,17 +12,17 @@
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
-// writeResponse streams a response to the caller. If the server truncates its body,
-// writeResponse aborts the caller's connection, so that the caller doesn't take the
-// response for complete.
-func writeResponse(w http.ResponseWriter, response *http.Response) {
+// writeResponse streams a response to the caller. After an error the caller's connection must
+// be closed, so that the caller doesn't take the response for complete.
+func writeResponse(w http.ResponseWriter, response *http.Response) error {
 	writeHeader(w, response.Header, response.StatusCode)
 	if err := copyBody(w, response.Body, response.ContentLength < 0); err != nil {
-		panic(http.ErrAbortHandler)
+		return err
 	}
 	for name, values := range response.Trailer {
 		w.Header()[http.TrailerPrefix+name] = values
 	}
+	return nil
 }
 
 func writeHeader(w http.ResponseWriter, header http.Header, status int) {
--- a/internal/request/plainproxy/exchange.go
+++ b/internal/request/plainproxy/exchange.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -116,15 +118,41 @@
 	if !x.callerBody.consumed() {
 		x.closeConnection()
 	}
-	writeResponse(x.w, result.response)
+	if err := writeResponse(x.w, result.response); err != nil {
+		x.abort(result, err)
+	}
 	return nil
 }
 
+// abort closes the caller's connection, so that the caller doesn't take a part of a response for the
+// whole one.
+func (x *exchange) abort(result serverResponse, err error) {
+	x.proxy.Logger.LogAttrs(x.ctx, slog.LevelInfo, "response of a plain server not passed on in full", slog.String("request-id", x.id),
+		slog.String("service", x.service), slog.String("server", result.server), slog.Int("status", result.response.StatusCode), slog.Any("error", err))
+	panic(http.ErrAbortHandler)
+}
+
 // serverResponse is a server's response whose body is still to be read.
 type serverResponse struct {
 	// close closes the body and ends the attempt.
 	close    func()
 	response *http.Response
+	// server is the id of the server.
+	server string
+}
+
+// watchedBody is a body that remembers whether it broke off.
+type watchedBody struct {
+	io.ReadCloser
+
+	broken bool
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.broken = b.broken || err != nil && !errors.Is(err, io.EOF)
+	return n, err
 }
 
 // send makes attempts until Decide allows no other one. It returns the response or error
@@ -237,17 +265,21 @@
 	}
 	if err != nil {
 		cancel(nil)
+		x.proxy.Logger.LogAttrs(ctx, slog.LevelInfo, "attempt at a plain server failed", slog.String("request-id", x.id),
+			slog.String("service", x.service), slog.String("server", to.id), slog.String("ran", string(kind.Of(err).Ran)), slog.Any("error", err))
 		x.pool.release(time.Now(), to.id, !kind.Is(err, kind.Cancelled), true, to.serverCount)
 		return serverResponse{}, err
 	}
 	x.latency.Observe(time.Since(start))
-	failed := response.StatusCode >= http.StatusInternalServerError
+	body := &watchedBody{ReadCloser: response.Body}
+	response.Body = body
 	closeResponse := func() {
-		_ = response.Body.Close()
+		failed := response.StatusCode >= http.StatusInternalServerError || body.broken && ctx.Err() == nil
+		_ = body.Close()
 		cancel(nil)
 		x.pool.release(time.Now(), to.id, true, failed, to.serverCount)
 	}
-	return serverResponse{close: closeResponse, response: response}, nil
+	return serverResponse{close: closeResponse, response: response, server: to.id}, nil
 }
 
 // attemptTimer cancels an attempt at the deadline, or earlier if another attempt may
--- a/internal/request/plainproxy/keyed.go
+++ b/internal/request/plainproxy/keyed.go
@@ -63,6 +63,9 @@
 	if err != nil {
 		// The caller got only a part of the response. It can repeat the request with the
 		// same key to get the recorded response, unless that was too large to be recorded.
+		if oversized.response != nil {
+			x.abort(oversized, err)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	return nil
@@ -77,7 +80,7 @@
 	body, err := io.ReadAll(io.LimitReader(got.response.Body, idempotency.MaxAnswerBytes+1))
 	if err != nil {
 		got.close()
-		return idempotency.Answer{}, kind.New(kind.OutcomeUnknown, "the response of the backend server was truncated after %d bytes", len(body))
+		return idempotency.Answer{}, kind.New(kind.OutcomeUnknown, "the response of backend server %q was cut after %d bytes: %v", got.server, len(body), err)
 	}
 	answer := idempotency.Answer{
 		Body:     body,
--- a/internal/request/plainproxy/proxy_test.go
+++ b/internal/request/plainproxy/proxy_test.go
@@ -53,6 +53,12 @@
 // newFixture starts a proxy and a number of stand-ins. Further servers are added with
 // addServer and addRefusing.
 func newFixture(t *testing.T, servers int) *fixture {
+	t.Helper()
+	return newFixtureWith(t, servers, &plain.Client{}, slog.DiscardHandler)
+}
+
+// newFixtureWith is newFixture with the proxy's client and the handler of its log.
+func newFixtureWith(t *testing.T, servers int, client *plain.Client, log slog.Handler) *fixture {
 	t.Helper()
 	is := is.New(t)
 	d, mistakes := document.Parse([]byte("[service]\nkind = plain\nname = portal\nteam = halvorsen\n" +
@@ -68,11 +74,10 @@
 		fx.standins = append(fx.standins, s)
 		fx.addServer(s.Address)
 	}
-	client := &plain.Client{}
 	proxy := &plainproxy.Proxy{
 		Client:    client,
 		Documents: fx,
-		Logger:    slog.New(slog.DiscardHandler),
+		Logger:    slog.New(log),
 		Policy:    &balance.RoundRobin[plainproxy.Candidate]{},
 		Servers:   fx,
 	}
