Count long answers of servers as answers only once they are whole

What could be seen: a server whose long answers all break off counted as sound, since its back-off ended with the part that is buffered, and the request counted as answered.

The cause: both were recorded when the buffer was full, before the rest was passed on.

The change: a long answer is recorded when all of it has been passed on; the load that its head states is recorded at once. A request whose answer its server breaks off counts as interrupted in the metric. A refusal that is cut isn't held against its server if the attempt had ended.

Evidence: TestLongAnswerCountsOnceItIsWhole, whose case of a cut answer failed before.

--- a/internal/backend/inventory/inventory.go
+++ b/internal/backend/inventory/inventory.go
@@ -396,12 +396,20 @@
 // RecordAnswer records a valid answer, which ends the back-off of the server. If requests
 // isn't negative, it is the number of requests that the server reported.
 func (v *Inventory) RecordAnswer(id string, requests int) {
+	v.RecordLoad(id, requests)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	seen := v.observed(id)
 	seen.answeredAt, seen.failures, seen.backoffUntil = v.now(), 0, time.Time{}
 	seen.requestFailures, seen.requestBackoffUntil = 0, time.Time{}
-	if requests >= 0 {
+}
+
+// RecordLoad records the number of requests that the server reported. A negative number means
+// that it reported none.
+func (v *Inventory) RecordLoad(id string, requests int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if seen := v.observed(id); requests >= 0 {
 		seen.reportedRequests, seen.reportedAt = requests, v.now()
 	}
 }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -205,7 +205,6 @@
 		return err
 	}
 	defer final.close()
-	f.metrics.count(ctx, "answered", time.Since(request.Arrived))
 	x.deliver(ctx, w, final)
 	return nil
 }
@@ -218,12 +217,19 @@
 	if recorder, ok := w.(ServerRecorder); ok {
 		recorder.RecordServer(final.server.ID)
 	}
+	headAfter := time.Since(x.request.Arrived)
 	err := writeAnswer(w, final)
+	endedByServer := errors.Is(err, errAnswerInterrupted) && ctx.Err() == nil
+	outcome := requestAnswered
+	if endedByServer {
+		outcome = requestInterrupted
+	}
+	x.metrics.count(ctx, outcome, headAfter)
 	if err == nil {
+		x.recordWhole(final)
 		x.reportAnswered()
 		return
 	}
-	endedByServer := errors.Is(err, errAnswerInterrupted) && ctx.Err() == nil
 	x.Logger.LogAttrs(ctx, slog.LevelInfo, "answer not passed on in full", slog.String("request-id", x.request.ID),
 		slog.String("server", final.server.ID), slog.Bool("relayed", final.relayed), slog.Int("status", final.response.StatusCode),
 		slog.Bool("ended-by-server", endedByServer), slog.Duration("after", time.Since(x.request.Arrived)), slog.Any("error", err))
@@ -235,6 +241,13 @@
 	panic(http.ErrAbortHandler)
 }
 
+// recordWhole records that a server has answered, if that wasn't known when its answer was buffered.
+func (x *exchange) recordWhole(final answer) {
+	if final.hasMore && !final.relayed && !isEventStream(final.response) {
+		x.Inventory.RecordAnswer(final.server.ID, -1)
+	}
+}
+
 // checkStop returns an error if this host may stop before the request has its answer. stated
 // is false if neither the caller nor the route sets a time budget.
 func (f *Forwarder) checkStop(request Request, deadline time.Time, stated bool) error {
@@ -308,9 +321,8 @@
 	return outcome
 }
 
-// send sends the request to one server and reads the answer's body up to the buffer size.
-// It does not read the body of an event stream. An answer that says that the request has not run
-// counts only if it is whole. atMostOnce has the meaning of [plain.Request.AtMostOnce].
+// send sends the request to one server and reads its answer as readAnswer does. atMostOnce has the
+// meaning of [plain.Request.AtMostOnce].
 func (f *Forwarder) send(
 	ctx context.Context, candidate inventory.Candidate, request Request, deadline time.Time, atMostOnce bool,
 ) answer {
@@ -347,12 +359,22 @@
 		}
 		return answer{server: candidate.Server, err: err, ran: kind.Of(err).Ran, sent: sent}
 	}
-	a := answer{server: candidate.Server, response: response, ran: kind.RanYes, sent: sent}
+	a := f.readAnswer(ctx, candidate, response)
+	a.sent = sent
+	return a
+}
+
+// readAnswer reads the body of a server's answer up to the buffer size, and nothing of an event
+// stream. An answer that says that the request has not run counts only if it is whole.
+func (f *Forwarder) readAnswer(ctx context.Context, candidate inventory.Candidate, response *http.Response) answer {
+	a := answer{server: candidate.Server, response: response, ran: kind.RanYes}
 	if response.Header.Get(f.Dialect.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		if _, err := httpbody.ReadAll(response, f.bufferSize()); err != nil {
 			_ = response.Body.Close()
-			f.Inventory.RecordRequestFailure(candidate.ID)
-			return answer{server: candidate.Server, err: err, ran: kind.RanUnknown, sent: sent}
+			if ctx.Err() == nil {
+				f.Inventory.RecordRequestFailure(candidate.ID)
+			}
+			return answer{server: candidate.Server, err: err, ran: kind.RanUnknown}
 		}
 		a.ran = kind.RanNo
 		return a
@@ -360,15 +382,21 @@
 	if err := f.checkSigned(response); err != nil {
 		_ = response.Body.Close()
 		f.Inventory.RecordRequestFailure(candidate.ID)
-		return answer{server: candidate.Server, err: err, ran: kind.RanUnknown, sent: sent}
+		return answer{server: candidate.Server, err: err, ran: kind.RanUnknown}
 	}
+	var err error
 	a.head, a.hasMore, err = f.readHead(response)
 	if err != nil {
 		_ = response.Body.Close()
-		return answer{server: candidate.Server, err: err, ran: kind.RanUnknown, sent: sent}
+		return answer{server: candidate.Server, err: err, ran: kind.RanUnknown}
 	}
-	if !isEventStream(response) {
-		f.Inventory.RecordAnswer(candidate.ID, ParseLoad(response.Header.Get(f.Dialect.Load)))
+	load := ParseLoad(response.Header.Get(f.Dialect.Load))
+	switch {
+	case isEventStream(response):
+	case a.hasMore:
+		f.Inventory.RecordLoad(candidate.ID, load)
+	default:
+		f.Inventory.RecordAnswer(candidate.ID, load)
 	}
 	return a
 }
--- a/internal/request/forward/instruments.go
+++ b/internal/request/forward/instruments.go
@@ -22,7 +22,7 @@
 func newInstruments(logger *slog.Logger) instruments {
 	meter := otel.Meter("nutmegway/forward")
 	requests, err := meter.Int64Counter("nutmegway.forward.requests",
-		metric.WithDescription("Single requests of callers by outcome: answered, or the kind of the failure."))
+		metric.WithDescription("Single requests of callers by outcome: answered, interrupted, or the kind of the failure."))
 	if err != nil {
 		logger.Error("cannot create metric", slog.Any("error", err))
 	}
@@ -44,6 +44,13 @@
 	return instruments{requests: requests, duration: seconds, attempts: tries, spillovers: spillovers}
 }
 
+// The outcomes of requests whose caller got the head of an answer, as values of a metric label.
+const (
+	requestAnswered = "answered"
+	// requestInterrupted is a request whose answer was broken off by the server.
+	requestInterrupted = "interrupted"
+)
+
 // The outcomes of attempts, as values of a metric label.
 const (
 	attemptAnswered = "answered"
--- a/internal/request/forward/truncated_test.go
+++ b/internal/request/forward/truncated_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -157,3 +158,27 @@
 		})
 	}
 }
+
+// TestLongAnswerCountsOnceItIsWhole guards against servers whose long answers break off and that
+// count as sound all the same, because the part that is buffered arrived.
+func TestLongAnswerCountsOnceItIsWhole(t *testing.T) {
+	const length = 600 << 10
+	head := "HTTP/1.1 200 OK\r\nStamp: s\r\nContent-Length: " + strconv.Itoa(length) + "\r\n\r\n"
+	for name, sent := range map[string]int{"cut": length - 1, "whole": length} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newForwarder()
+			f.Inventory.Set(inventory.Server{Address: newRawServer(t, func() string { return head + strings.Repeat("p", sent) }), ID: "raw", Service: "s", Slots: 4})
+			began := time.Now()
+			aborted := func() (aborted bool) {
+				defer func() { aborted = recover() != nil }()
+				is.NoErr(f.Serve(t.Context(), httptest.NewRecorder(), request(), config.Route{
+					MaxAttempts: 1, Repeat: config.RepeatNever, Targets: []config.Target{{Service: "s", Weight: 1}}, Timeout: time.Minute,
+				}))
+				return false
+			}()
+			is.Equal(aborted, sent < length)
+			is.Equal(f.Inventory.AnsweredSince("raw", began), sent == length)
+		})
+	}
+}
