--- a/internal/base/httpconn/httpconntest/httpconntest.go
+++ b/internal/base/httpconn/httpconntest/httpconntest.go
@@ -47,6 +47,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error {
 		for {
@@ -56,6 +57,8 @@
 			}
 			group.Go(func() error {
 				defer func() { _ = conn.Close() }()
+				// Clients may keep connections that they don't use.
+				defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 				reader := bufio.NewReader(conn)
 				request, err := http.ReadRequest(reader)
 				if err != nil {
@@ -73,6 +76,7 @@
 	})
 	t.Cleanup(func() {
 		_ = listener.Close()
+		cancel()
 		_ = group.Wait()
 	})
 	return listener.Addr().String()
