--- a/internal/backend/plain/client.go
+++ b/internal/backend/plain/client.go
@@ -136,8 +136,9 @@
 }
 
 // Do sends the request to the server at address, an IP address and port, and returns its
-// answer, whose status is one from 200 to 599. The caller must close the answer's body. Closing
-// it before it is read to its end closes the connection too. Each error has a kind and says
+// answer, whose status is one from 200 to 599 and whose lines are those of an answer (see
+// [httpconn.Conn]). The caller must close the answer's body. Closing it before it is read to its end
+// closes the connection too. Reading the body of an answer that breaks off ends with an error. Each error has a kind and says
 // whether the request may have run. It says RanNo only if no byte of the request was written to a
 // connection.
 func (c *Client) Do(ctx context.Context, address string, request Request) (*http.Response, error) {
--- a/internal/base/httpconn/httpconn.go
+++ b/internal/base/httpconn/httpconn.go
@@ -21,8 +21,9 @@
 // expired is a deadline that has passed.
 var expired = time.Unix(1, 0)
 
-// Conn is a connection to a server. Conn is set before the first call. One goroutine may read
-// while another one writes.
+// Conn is a connection to a server. Its field Conn is set before the first call. One goroutine may
+// read while another one writes. Requests follow each other: the next one begins after the answer to
+// the one before.
 type Conn struct {
 	net.Conn
 
