--- a/internal/base/httpconn/httpconn.go
+++ b/internal/base/httpconn/httpconn.go
@@ -18,6 +18,9 @@
 
 var classError = errs.Class("httpconn")
 
+// errAdditional is the error of a read after additional bytes of the server.
+var errAdditional = classError.New("the server sent bytes that belong to no request")
+
 // expired is a deadline that has passed.
 var expired = time.Unix(1, 0)
 
@@ -48,9 +51,6 @@
 	writeErr error
 }
 
-// errAdditional is the error of a read after additional bytes of the server.
-var errAdditional = classError.New("the server sent bytes that belong to no request")
-
 // NetConn returns the connection that c wraps.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
@@ -85,39 +85,37 @@
 // a reset it returns an error, even if a write has met the reset first. It returns no bytes of a
 // line that must not stand in an answer, nor such as belong to no request.
 func (c *Conn) Read(p []byte) (int, error) {
-	if _, err := c.check(nil); err != nil {
+	if err := c.answerError(); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
-	sound, checkErr := c.check(p[:n])
-	switch {
-	case checkErr != nil:
-		return 0, checkErr
-	case sound > 0:
-		return sound, nil // A later read returns err again.
-	case errors.Is(err, io.EOF):
-		return 0, c.endError()
+	if n > 0 {
+		return c.check(p[:n]) // A later read returns err again.
+	}
+	if errors.Is(err, io.EOF) {
+		err = c.endError()
 	}
 	return 0, err
 }
 
-// check returns how many of the bytes read may be passed on. It returns an error if that is none of
-// them, and always after bytes that were not passed on.
+func (c *Conn) answerError() error {
+	c.answerMu.Lock()
+	defer c.answerMu.Unlock()
+	return c.answerErr
+}
+
+// check returns how many of the bytes read may be passed on, or an error if that is none of them.
 func (c *Conn) check(p []byte) (int, error) {
 	c.answerMu.Lock()
 	defer c.answerMu.Unlock()
-	if len(p) == 0 || c.answerErr != nil {
-		return 0, c.answerErr
-	}
 	n, err := c.answer.scan(p)
 	if err != nil {
 		c.answerErr = err
 		return 0, err
 	}
-	if n == len(p) {
-		return n, nil
+	if n < len(p) {
+		c.answerErr = errAdditional
 	}
-	c.answerErr = errAdditional
 	if n == 0 {
 		return 0, c.answerErr
 	}
--- a/internal/base/httpconn/httpconntest/httpconntest.go
+++ b/internal/base/httpconn/httpconntest/httpconntest.go
@@ -6,10 +6,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,8 +21,11 @@
 
 const (
 	// UploadBytes is more than the socket buffers of both ends take.
-	UploadBytes = 48 << 20
+	UploadBytes = 4 << 20
 
+	// socketBufferBytes is the size of the socket buffers that hold an upload. The kernel doubles
+	// it.
+	socketBufferBytes = 128 << 10
 	// readOnBytes is how much of an upload a server reads after its answer.
 	readOnBytes = 1 << 20
 	// maxWait bounds each wait of one end of a connection for another event.
@@ -43,7 +48,8 @@
 // server's address.
 func ServeEarly(t *testing.T, answer string, end func(*net.TCPConn)) string {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	// Accepted connections have the buffers of their listener.
+	listener, err := (&net.ListenConfig{Control: setBuffers}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -103,7 +109,7 @@
 
 // DialContext opens a connection like net.Dialer.DialContext.
 func (d Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	conn, err := (&net.Dialer{Control: setBuffers}).DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
@@ -162,6 +168,16 @@
 	return c.Conn.Close()
 }
 
+// setBuffers bounds the socket buffers that hold an upload.
+func setBuffers(_, _ string, socket syscall.RawConn) error {
+	var errs [2]error
+	err := socket.Control(func(fd uintptr) {
+		errs[0] = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, socketBufferBytes)
+		errs[1] = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, socketBufferBytes)
+	})
+	return errors.Join(err, errs[0], errs[1])
+}
+
 // awaitAcknowledged waits until the other end has got all that was sent. A reset would discard it.
 func awaitAcknowledged(conn *net.TCPConn) {
 	raw, err := conn.SyscallConn()
--- a/internal/base/httpconn/scanner.go
+++ b/internal/base/httpconn/scanner.go
@@ -13,6 +13,12 @@
 // shorter.
 const maxKeptBytes = 128
 
+// The names of the fields that frame a body.
+var (
+	contentLength    = []byte("Content-Length")
+	transferEncoding = []byte("Transfer-Encoding")
+)
+
 // state is what the next byte of a connection belongs to.
 type state int
 
@@ -182,9 +188,9 @@
 	name, value, _ := bytes.Cut(s.line, []byte(":"))
 	switch {
 	case s.state == stateTrailer:
-	case strings.EqualFold(string(name), "Transfer-Encoding"):
+	case bytes.EqualFold(name, transferEncoding):
 		s.chunked = true
-	case strings.EqualFold(string(name), "Content-Length"):
+	case bytes.EqualFold(name, contentLength):
 		length, err := strconv.ParseUint(string(bytes.Trim(value, " \t")), 10, 63)
 		if err != nil {
 			return classError.New("the answer has an invalid content length")
